--- a/dalemast/core/submissions/__init__.py
+++ b/dalemast/core/submissions/__init__.py
@@ -1,16 +1,18 @@
 """Submissions: tickets, keys, and the memory that a submission starts once."""
 
 from dalemast.core.submissions.base import ClaimKey, Submission, SubmissionKey, TicketKey
+from dalemast.core.submissions.desk import SubmissionDesk
 from dalemast.core.submissions.exceptions import (
     AnswerForgotten,
     ForeignSubmission,
     KeyUnproved,
+    OwnerDraining,
     OwnerLost,
     SubmissionDiffers,
     TicketExpired,
     TicketInvalid,
 )
-from dalemast.core.submissions.ledger import SubmissionLedger
+from dalemast.core.submissions.ledger import LedgerEntry, SubmissionLedger
 from dalemast.core.submissions.tickets import JobName, Ticket, TicketSigner
 
 __all__ = [
@@ -19,8 +21,11 @@
     "ForeignSubmission",
     "JobName",
     "KeyUnproved",
+    "LedgerEntry",
+    "OwnerDraining",
     "OwnerLost",
     "Submission",
+    "SubmissionDesk",
     "SubmissionDiffers",
     "SubmissionKey",
     "SubmissionLedger",
--- a/dalemast/core/submissions/exceptions.py
+++ b/dalemast/core/submissions/exceptions.py
@@ -7,6 +7,7 @@
     "AnswerForgotten",
     "ForeignSubmission",
     "KeyUnproved",
+    "OwnerDraining",
     "OwnerLost",
     "SubmissionDiffers",
     "TicketExpired",
@@ -56,6 +57,14 @@
     hint = "The run field is exact; an operator can raise limits.kept_bytes."
 
 
+class OwnerDraining(DalemastError):
+    """This entry is stopping and takes no new job."""
+
+    code = "E1608"
+    status = 503
+    hint = "Send the job, with a new ticket, through the balancer to another entry."
+
+
 class OwnerLost(DalemastError):
     """The process that owned the submission is gone; nobody will start it any more."""
 
--- a/dalemast/entry/callers.py
+++ b/dalemast/entry/callers.py
@@ -16,13 +16,14 @@
     ClaimKey,
     ForeignSubmission,
     JobName,
+    LedgerEntry,
+    OwnerDraining,
     OwnerLost,
     SubmissionKey,
     Ticket,
     TicketKey,
     TicketSigner,
 )
-from dalemast.core.submissions.ledger import LedgerEntry
 from dalemast.entry.accounts import Authenticator
 from dalemast.entry.bodies import (
     CompleteAnswer,
@@ -33,7 +34,7 @@
 )
 from dalemast.entry.claims import ClaimBatcher, ClaimOutcome
 from dalemast.entry.engine import EntryEngine
-from dalemast.entry.exceptions import EntryDraining, EntryNotReady
+from dalemast.entry.exceptions import EntryNotReady
 from dalemast.entry.forwarding import (
     ACCOUNT_HEADER,
     INCARNATION_HEADER,
@@ -106,7 +107,7 @@
         request = read_job(body, account=account.name, limits=self._engine.configuration.limits)
         digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
         started_at = time.monotonic()
-        result = await self._engine.submit(key=key, account=account, digest=digest, request=request)
+        result = await self._engine.submit(key=key, digest=digest, request=request)
         elapsed_s = time.monotonic() - started_at
         self._context.metrics.record("job", account.name, elapsed_s)
         _log_result(request, result, elapsed_s)
@@ -166,7 +167,7 @@
         """Issue tickets."""
         account = self._authenticate()
         if self._engine.is_draining:
-            raise EntryDraining("this entry is stopping", retry_after_s=0.1)
+            raise OwnerDraining("this entry is stopping", retry_after_s=0.1)
         body: TicketsBody = decode_body(self.request.body or b"{}", TicketsBody)
         if not 1 <= body.count <= self._context.max_tickets:
             raise BadBody(
--- a/dalemast/entry/engine.py
+++ b/dalemast/entry/engine.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from dalemast.core.configuration import Account, Configuration, ConfigurationHolder
+from dalemast.core.configuration import Configuration, ConfigurationHolder
 from dalemast.core.dispatch import (
     CallerGone,
     JobCancelled,
@@ -20,13 +20,12 @@
 )
 from dalemast.core.exceptions import DalemastError
 from dalemast.core.submissions import (
-    Submission,
+    LedgerEntry,
+    SubmissionDesk,
     SubmissionKey,
     SubmissionLedger,
 )
-from dalemast.core.submissions.ledger import LedgerEntry
 from dalemast.core.wire import AgentFrame, AgentHello, EntryFrame, EntryHello
-from dalemast.entry.exceptions import EntryDraining
 from dalemast.observability import Metrics
 
 __all__ = ["EntryEngine"]
@@ -68,10 +67,12 @@
             rng=random.Random(incarnation),
             now=time.monotonic(),
         )
+        self._desk = SubmissionDesk(
+            owner=self._owner, ledger=self.ledger, configuration=self.configuration
+        )
         self._senders: dict[str, Sender] = {}
         self._waiters: dict[int, set[asyncio.Future[JobResult]]] = {}
         self._is_collecting = False
-        self._is_draining = False
         self._ticker: asyncio.Task[None] | None = None
         self._on_configuration: list[Callable[[], None]] = []
 
@@ -88,7 +89,7 @@
     @property
     def is_draining(self) -> bool:
         """Whether new jobs are refused."""
-        return self._is_draining
+        return self._desk.is_draining
 
     @property
     def open_jobs(self) -> int:
@@ -106,7 +107,7 @@
 
     def start_draining(self) -> None:
         """Take no new job from now on."""
-        self._is_draining = True
+        self._desk.start_draining()
 
     # Configuration
 
@@ -131,18 +132,18 @@
 
     # Submissions
 
-    async def submit(
-        self, *, key: SubmissionKey, account: Account, digest: bytes, request: JobRequest
-    ) -> JobResult:
+    async def submit(self, *, key: SubmissionKey, digest: bytes, request: JobRequest) -> JobResult:
         """Start a submission or join the one that was started, and wait for its result.
 
         Raises the refusal; a refused key stays refused.
         """
-        entry = self.ledger.find(key, digest=digest)
-        if entry is None:
-            entry = self._open(key, account, digest, request)
-        else:
-            self.metrics.count("submissions.joined")
+        try:
+            entry = self._desk.take(now=time.monotonic(), key=key, digest=digest, request=request)
+        except DalemastError as error:
+            self.metrics.count(f"submissions.refused.{error.code}")
+            raise
+        self.metrics.count("submissions.taken")
+        self._schedule()
         return await self.wait(entry)
 
     async def wait(self, entry: LedgerEntry) -> JobResult:
@@ -177,21 +178,6 @@
         assert entry.result is not None
         return entry.result
 
-    def _open(
-        self, key: SubmissionKey, account: Account, digest: bytes, request: JobRequest
-    ) -> LedgerEntry:
-        try:
-            if self._is_draining:
-                raise EntryDraining("this entry is stopping", retry_after_s=0.1)
-            job = self._owner.submit(now=time.monotonic(), request=request)
-        except DalemastError as error:
-            self.ledger.refuse(key)
-            self.metrics.count(f"submissions.refused.{error.code}")
-            raise
-        self.metrics.count("submissions.admitted")
-        self._schedule()
-        return self.ledger.open(Submission(key=key, account=account.name, job=job, digest=digest))
-
     def _note_abandoned(self, job: int) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(self._caller_grace_s, self._drop_abandoned, job)
@@ -264,9 +250,7 @@
             sender(data)
 
     def _finish(self, result: JobResult, now: float) -> None:
-        account = self.configuration.accounts.get(result.account)
-        kept_bytes = account.limits.kept_bytes if account is not None else 0
-        self.ledger.finish(result=result, now=now, kept_bytes=kept_bytes)
+        self._desk.finish(now=now, result=result)
         self.metrics.count("jobs.complete" if result.is_complete else "jobs.failed")
         if result.error is not None:
             self.metrics.count(f"jobs.failed.{result.error.code}")
--- a/dalemast/entry/exceptions.py
+++ b/dalemast/entry/exceptions.py
@@ -2,20 +2,12 @@
 
 from dalemast.core.exceptions import DalemastError
 
-__all__ = ["EntryDraining", "EntryNotReady"]
-
-
-class EntryDraining(DalemastError):
-    """This entry is stopping and takes no new job."""
-
-    code = "E1901"
-    status = 503
-    hint = "Send the job, with a new ticket, through the balancer to another entry."
+__all__ = ["EntryNotReady"]
 
 
 class EntryNotReady(DalemastError):
     """This entry has no configuration yet."""
 
-    code = "E1902"
+    code = "E1901"
     status = 503
     hint = "Send the job through the balancer to another entry."
