Tell an unreachable endpoint or peer from one that failed; notice callers that hang up

The curl client raises its error even when asked not to, so a refused connection was taken for a failed task and a dead owner for a silent one; and tornado does not end a handler whose caller is gone, so abandoned jobs were never dropped. Change: read the error's number where it is raised; cancel the wait when the connection closes.

--- a/dalemast/agent/endpoints.py
+++ b/dalemast/agent/endpoints.py
@@ -54,12 +54,10 @@
         started_at = time.monotonic()
         try:
             response = await self._client.fetch(self._make_request(task), raise_error=False)
-        except (OSError, CurlError) as error:
-            return _make_outcome(task, started_at, OutcomeKind.FAILED, error=str(error))
-        if isinstance(response.error, CurlError):
-            is_refused = response.error.errno == pycurl.E_COULDNT_CONNECT
+        except CurlError as error:
+            is_refused = error.errno == pycurl.E_COULDNT_CONNECT
             kind = OutcomeKind.UNREACHABLE if is_refused else OutcomeKind.FAILED
-            return _make_outcome(task, started_at, kind, error=str(response.error))
+            return _make_outcome(task, started_at, kind, error=str(error))
         if response.code != 200:
             text = (response.body or b"")[:MAX_ERROR_TEXT].decode(errors="replace")
             message = f"the endpoint answered {response.code}: {text}"
--- a/dalemast/bench/base.py
+++ b/dalemast/bench/base.py
@@ -29,6 +29,7 @@
     "default": Variant(),
     "spreading": Variant(policy={"placement": "spreading"}),
     "queue-2": Variant(queue_limit=2),
+    "queue-4": Variant(queue_limit=4),
     "queue-8": Variant(queue_limit=8),
     "answers-at-once": Variant(is_holding_answers=False),
     "random": Variant(
--- a/dalemast/bench/report.py
+++ b/dalemast/bench/report.py
@@ -64,6 +64,7 @@
     agent_ms_per_task: float
     goodput: float
     codes: dict[str, int]
+    frames: dict[str, int]
     p99_ms_by_account: dict[str, float]
 
 
@@ -129,6 +130,11 @@
         entry_ms_per_task=_round(usage.entry_processor_s * 1000 / tasks),
         agent_ms_per_task=_round(usage.agent_processor_s * 1000 / tasks),
         goodput=_round(work_s / (slots * usage.seconds)),
+        frames={
+            name: count
+            for name, count in sorted(usage.counters.items())
+            if name.startswith(("frames.", "tasks.", "forwards."))
+        },
         codes=dict(Counter(record.code for record in counted if record.code)),
         p99_ms_by_account=_get_account_p99(complete),
     )
--- a/dalemast/core/dispatch/owner.py
+++ b/dalemast/core/dispatch/owner.py
@@ -266,8 +266,7 @@
             self._lose(link.reset_session(hello.session), worker)
         else:
             link.prepare_resend(now)
-        link.view.slots = min(hello.slots, link.view.endpoint.slots)
-        link.view.is_linked = True
+        link.view.open_session(session=hello.session, slots=hello.slots)
         link.view.take_report(load=hello.load, now=now)
         self._must_dispatch = True
 
@@ -333,6 +332,8 @@
             return
         job = item.job
         self._settle_usage(item, 0.0)
+        if refusal.reason is RefusalReason.FULL:
+            link.view.await_room()
         if refusal.reason is RefusalReason.UNREACHABLE:
             self._note_unreachable(link, job, now)
         if not job.is_open:
--- a/dalemast/core/placement/workers.py
+++ b/dalemast/core/placement/workers.py
@@ -14,7 +14,11 @@
 __all__ = ["WorkerPool", "WorkerStanding", "WorkerView"]
 
 OTHERS_HALF_LIFE_S = 0.25
-"""After this many seconds half of the load that others had put on a worker is taken as gone."""
+"""After this many seconds half of what a report said of others is taken as overtaken."""
+
+AVERAGE_HALF_LIFE_S = 0.5
+AVERAGE_STEP = 0.05
+"""Weight of one report in the average of others' load."""
 
 SERVICE_LABEL = "dalemast/service."
 
@@ -27,15 +31,41 @@
     PROBATION = "probation"
 
 
+class OthersAverage:
+    """How many tasks other entries have on a worker, on average over recent reports.
+
+    Without reports the average fades: an entry that hears nothing has to try.
+    """
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._at = -math.inf
+
+    def add(self, others: int, now: float) -> None:
+        """Take what one report said."""
+        current = self.get(now)
+        self._value = current + AVERAGE_STEP * (others - current)
+        self._at = now
+
+    def get(self, now: float) -> float:
+        """Return the average."""
+        if not self._value:
+            return 0.0
+        return float(self._value * 0.5 ** ((now - self._at) / AVERAGE_HALF_LIFE_S))
+
+
 class WorkerView:
     """One endpoint as this entry sees it.
 
     The entry's own tasks are counted exactly. What other entries have there is known from the last
-    frame and fades with its age: a wrong guess costs one refusal, which brings a fresh report.
+    frame, and with its age turns into what they have on average. A wrong guess costs one refusal,
+    which brings a fresh report; an agent that refused a task tells when it has room, so until then
+    there is no more guessing.
     """
 
-    def __init__(self, *, endpoint: Endpoint) -> None:
+    def __init__(self, *, endpoint: Endpoint, average: OthersAverage | None = None) -> None:
         self.endpoint = endpoint
+        self._average = average or OthersAverage()
         self.session = ""
         self.is_linked = False
         self.is_draining = False
@@ -43,6 +73,7 @@
         self.standing = WorkerStanding.GOOD
         self.slots = endpoint.slots
         self.own = 0
+        self._is_awaiting_room = False
         self._others = 0
         self._reported_total = 0
         self._reported_at = -math.inf
@@ -71,17 +102,32 @@
         self._reported_total = load.running + load.queued
         self._others = max(0, self._reported_total - load.yours)
         self._reported_at = now
+        self._average.add(self._others, now)
         self.is_draining = load.draining
+        if self._reported_total < self.slots:
+            self._is_awaiting_room = False
+
+    def open_session(self, *, session: str, slots: int) -> None:
+        """Begin with an agent that may have forgotten what it would tell."""
+        self.session = session
+        self.slots = min(slots, self.endpoint.slots)
+        self.is_linked = True
+        self._is_awaiting_room = False
+
+    def await_room(self) -> None:
+        """Note that the agent refused a task for want of room and will tell when there is some."""
+        self._is_awaiting_room = True
 
     def get_load(self, now: float) -> float:
         """Estimate how many tasks are there, this entry's included."""
         age = now - self._reported_at
-        others = self._others * 0.5 ** (age / OTHERS_HALF_LIFE_S) if self._others else 0.0
-        return self.own + others
+        average = self._average.get(now)
+        fading: float = 0.5 ** (age / OTHERS_HALF_LIFE_S)
+        return self.own + average + (self._others - average) * fading
 
     def get_room(self, *, now: float, queue_limit: int) -> int:
         """Return how many more tasks the worker is believed to take."""
-        if not self.is_usable:
+        if not self.is_usable or self._is_awaiting_room:
             return 0
         if self.standing is WorkerStanding.PROBATION:
             return max(0, 1 - self.own)
@@ -93,6 +139,7 @@
 
     def __init__(self) -> None:
         self._views: dict[str, WorkerView] = {}
+        self._average = OthersAverage()
         self._index = LabelIndex(items=())
         self._candidates: dict[tuple[str, Selector, Selector], tuple[WorkerView, ...]] = {}
 
@@ -126,7 +173,7 @@
                 del self._views[name]
         for name, endpoint in declared.items():
             if name not in self._views:
-                self._views[name] = WorkerView(endpoint=endpoint)
+                self._views[name] = WorkerView(endpoint=endpoint, average=self._average)
         self._index = LabelIndex(
             items=((name, _get_all_labels(endpoint)) for name, endpoint in declared.items())
         )
--- a/dalemast/entry/callers.py
+++ b/dalemast/entry/callers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import time
 from dataclasses import dataclass
 
 import msgspec
+from tornado.web import Finish
 
 from dalemast.core.configuration import Account
 from dalemast.core.dispatch import JobRequest, JobResult
@@ -80,6 +82,12 @@
     def initialize(self, context: CallersContext) -> None:
         self._context = context
         self._engine = context.engine
+        self._pending: asyncio.Future[JobResult] | None = None
+
+    def on_connection_close(self) -> None:
+        """Wait no longer for a caller that has hung up."""
+        if self._pending is not None:
+            self._pending.cancel()
 
     def _make_ticket(self, account: str) -> str | None:
         if self._engine.is_draining:
@@ -107,7 +115,12 @@
         request = read_job(body, account=account.name, limits=self._engine.configuration.limits)
         digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
         started_at = time.monotonic()
-        result = await self._engine.submit(key=key, digest=digest, request=request)
+        submitting = self._engine.submit(key=key, digest=digest, request=request)
+        self._pending = asyncio.ensure_future(submitting)
+        try:
+            result = await self._pending
+        except asyncio.CancelledError as error:
+            raise Finish from error
         elapsed_s = time.monotonic() - started_at
         self._context.metrics.record("job", account.name, elapsed_s)
         _log_result(request, result, elapsed_s)
--- a/dalemast/http/client.py
+++ b/dalemast/http/client.py
@@ -85,11 +85,9 @@
         )
         try:
             response = await self._get_client().fetch(request, raise_error=False)
-        except (OSError, CurlError) as error:
-            raise HttpFailure(str(error), is_unreachable=False) from error
-        if isinstance(response.error, CurlError):
-            is_unreachable = response.error.errno in _UNREACHABLE
-            raise HttpFailure(str(response.error), is_unreachable=is_unreachable)
+        except CurlError as error:
+            is_unreachable = error.errno in _UNREACHABLE
+            raise HttpFailure(str(error), is_unreachable=is_unreachable) from error
         return JsonResponse(
             status=response.code,
             body=response.body or b"",
--- a/tests/core/test_gate.py
+++ b/tests/core/test_gate.py
@@ -181,9 +181,7 @@
             self.sessions[owner] = opened[0].session
 
     def send(self, owner: str, number: int, index: int, now: float = NOW) -> list[str]:
-        frame = EntryFrame(
-            session=self.sessions[owner], number=number, starts=(make_start(index),)
-        )
+        frame = EntryFrame(session=self.sessions[owner], number=number, starts=(make_start(index),))
         self.gate.receive(now=now, owner=owner, frame=frame)
         return [task.owner for task in self.gate.collect(now=now).runs]
 
