Judge workers for each account by its own tasks; cancel by ticket; faults on real processes

Cause: ejection looked at all accounts together, so an account that sends rubbish could take a worker from the others; a caller had no name for a job before its answer; faults on real processes had no test.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,8 @@
 
 docs: setup
 	$(BIN)/python -m dalemast.bench.capacity --write
-	$(BIN)/dalemast errors --output docs/reference/ERRORS.md
+	$(BIN)/dalemast reference errors --output docs/reference/ERRORS.md
+	$(BIN)/dalemast reference settings --output docs/reference/settings.md
 
 binary: setup
 	$(BIN)/python -m dalemast.bench.binary
--- a/dalemast/bench/__main__.py
+++ b/dalemast/bench/__main__.py
@@ -13,9 +13,11 @@
 import cappa
 import msgspec
 
+from dalemast.bench.faults import run_faults
 from dalemast.bench.report import Figures, get_spread
 from dalemast.bench.runner import run_scenario
 from dalemast.bench.scenarios import SCENARIOS
+from dalemast.bench.slopes import run_slopes
 from dalemast.management.output import print_table
 
 __all__ = ["BenchCommand"]
@@ -164,7 +166,8 @@
     ]
 
 
-SPECIAL = {}
+SPECIAL = {"faults": run_faults, "slopes": run_slopes}
+"""What is not a scenario: runs of their own kind, by name."""
 
 
 if __name__ == "__main__":
--- a/dalemast/bench/cluster.py
+++ b/dalemast/bench/cluster.py
@@ -294,6 +294,7 @@
             "data_centre": HALLS[number % len(HALLS)],
             "callers": {"address": self.caller_addresses[number]},
             "operators": {"address": self.entry_addresses[number]},
+            "peers": self.entry_addresses,
             "platform": {"url": f"http://{self.platform_address}"},
             "policy": {"queue_limit": self.shape.queue_limit, **self.shape.policy},
             "emulation": {"far_ms": self.shape.far_ms},
--- a/dalemast/core/dispatch/owner.py
+++ b/dalemast/core/dispatch/owner.py
@@ -84,7 +84,7 @@
         self._admission: BaseAdmission = get_admission(policy.admission)
         self._pool = WorkerPool()
         self._links: dict[str, WorkerLink] = {}
-        self._health = HealthMonitor()
+        self._health: dict[str, HealthMonitor] = {}
         self._backlog = Backlog()
         self._retries = RetryBudget(rate_per_s=500.0, now=now)
         self._jobs: dict[int, Job] = {}
@@ -106,10 +106,13 @@
         """The workers as this owner sees them."""
         return self._pool
 
-    @property
-    def health(self) -> HealthMonitor:
-        """What was observed of services and workers."""
-        return self._health
+    def get_health(self, account: str) -> HealthMonitor:
+        """Return what an account's tasks have shown of services and workers."""
+        monitor = self._health.get(account)
+        if monitor is None:
+            monitor = HealthMonitor()
+            self._health[account] = monitor
+        return monitor
 
     @property
     def open_jobs(self) -> int:
@@ -228,7 +231,7 @@
         The slots this owner holds now are what it wins against the other entries; a backlog of
         other accounts leaves this one its weighted share of them.
         """
-        observations = self._health.get_service(request.service)
+        observations = self.get_health(account.name).get_service(request.service)
         middle = observations.run_times.get(0.5, ASSUMED_RUN_S)
         high = observations.run_times.get(HIGH_QUANTILE, ASSUMED_RUN_S)
         usage = self._backlog.get_usage(account.name)
@@ -263,7 +266,7 @@
         if link is None:
             return
         if hello.session != link.view.session:
-            self._lose(link.reset_session(hello.session), worker)
+            self._lose(link, link.reset_session(hello.session))
         else:
             link.prepare_resend(now)
         link.view.open_session(session=hello.session, slots=hello.slots)
@@ -280,7 +283,7 @@
         """Give up a worker that cannot be reached; its tasks may have run."""
         link = self._links.get(worker)
         if link is not None and link.outstanding:
-            self._lose(link.reset_session(""), worker)
+            self._lose(link, link.reset_session(""))
 
     def has_outstanding(self, worker: str) -> bool:
         """Tell whether a worker holds tasks of this owner."""
@@ -306,16 +309,8 @@
         if item is None:
             return
         job = item.job
-        self._settle_usage(item, answer.run_ms / 1000.0)
-        if self._policy.is_ejecting:
-            self._health.observe(
-                worker=link.view,
-                service=job.request.service,
-                run_s=answer.run_ms / 1000.0,
-                is_failure=bool(answer.error),
-                now=now,
-                pool=self._pool.get_views(),
-            )
+        self._settle_usage(link, item, answer.run_ms / 1000.0)
+        self._observe(link, job, answer.run_ms / 1000.0, is_failure=bool(answer.error), now=now)
         if answer.error:
             job.move(answer.index, TaskState.FAILED)
             if job.is_open:
@@ -331,11 +326,11 @@
         if item is None:
             return
         job = item.job
-        self._settle_usage(item, 0.0)
+        self._settle_usage(link, item, 0.0)
         if refusal.reason is RefusalReason.FULL:
             link.view.await_room()
         if refusal.reason is RefusalReason.UNREACHABLE:
-            self._note_unreachable(link, job, now)
+            self._observe(link, job, 0.0, is_failure=True, now=now)
         if not job.is_open:
             job.move(refusal.index, TaskState.REVOKED)
             return
@@ -368,30 +363,35 @@
                 self._backlog.add(job, weight=self._get_weight(job.request.account), is_first=True)
         self._parked.clear()
 
-    def _note_unreachable(self, link: WorkerLink, job: Job, now: float) -> None:
-        if self._policy.is_ejecting:
-            self._health.observe(
-                worker=link.view,
-                service=job.request.service,
-                run_s=0.0,
-                is_failure=True,
-                now=now,
-                pool=self._pool.get_views(),
-            )
+    def _observe(
+        self, link: WorkerLink, job: Job, run_s: float, *, is_failure: bool, now: float
+    ) -> None:
+        if not self._policy.is_ejecting:
+            return
+        self.get_health(job.request.account).observe(
+            worker=link.view.name,
+            service=job.request.service,
+            run_s=run_s,
+            is_failure=is_failure,
+            now=now,
+            workers=len(self._pool),
+        )
 
-    def _settle_usage(self, item: Outstanding, used_s: float) -> None:
+    def _settle_usage(self, link: WorkerLink, item: Outstanding, used_s: float) -> None:
         request = item.job.request
+        health = self.get_health(request.account)
+        health.note_resolved(link.view.name)
         self._backlog.get_usage(request.account).running -= 1
-        expected = self._health.get_expected_run_s(request.service)
+        expected = health.get_expected_run_s(request.service)
         self._backlog.charge(request.account, used_s - expected)
 
-    def _lose(self, items: list[Outstanding], worker: str) -> None:
+    def _lose(self, link: WorkerLink, items: list[Outstanding]) -> None:
         for item in items:
-            self._settle_usage(item, 0.0)
+            self._settle_usage(link, item, 0.0)
             item.job.move(item.index, TaskState.LOST)
         for item in items:
             if item.job.is_open:
-                error = WorkerLost(f"endpoint {worker} held task {item.index} and is gone")
+                error = WorkerLost(f"endpoint {link.view.name} held task {item.index} and is gone")
                 self._fail(item.job, error)
 
     # Time
@@ -400,8 +400,8 @@
         """Do what time brings: deadlines, overdue tasks, probations, confirmations."""
         self._expire(now)
         self._unpark()
-        if self._policy.is_ejecting and self._health.tick(now=now, pool=self._pool.get_views()):
-            self._must_dispatch = True
+        for health in self._health.values():
+            self._must_dispatch |= health.tick(now=now)
         for link in self._links.values():
             if not link.view.is_linked:
                 continue
@@ -424,18 +424,20 @@
         for key, item in list(link.outstanding.items()):
             if key in link.overdue:
                 continue
-            expected = self._health.get_expected_run_s(item.job.request.service, ASSUMED_RUN_S)
+            request = item.job.request
+            health = self.get_health(request.account)
+            expected = health.get_expected_run_s(request.service, ASSUMED_RUN_S)
             age = now - item.sent_at
             if age < max(expected * OVERDUE_FACTOR, MIN_OVERDUE_S):
                 continue
             link.overdue.add(key)
             if self._policy.is_ejecting:
-                self._health.observe_overdue(
-                    worker=link.view,
-                    service=item.job.request.service,
+                health.observe_overdue(
+                    worker=link.view.name,
+                    service=request.service,
                     running_s=age,
                     now=now,
-                    pool=self._pool.get_views(),
+                    workers=len(self._pool),
                 )
             if self._policy.revoke_factor and self._policy.queue_limit and item.job.is_open:
                 link.add_revoke(key)
@@ -508,6 +510,7 @@
             allotments = self._placement.choose(
                 count=min(len(job.waiting), allowance),
                 candidates=candidates,
+                health=self.get_health(account),
                 now=now,
                 rng=self._rng,
             )
@@ -528,12 +531,14 @@
         """Tell whether a job that has started nothing cannot be done in time any more."""
         if job.has_started_work:
             return False
-        run = self._health.get_service(job.request.service).run_times.get(0.25, 0.0)
+        health = self.get_health(job.request.account)
+        run = health.get_service(job.request.service).run_times.get(0.25, 0.0)
         return now + run > job.deadline_at
 
     def _send(self, job: Job, allotments: list[Allotment], now: float) -> None:
         usage = self._backlog.get_usage(job.request.account)
-        expected = self._health.get_expected_run_s(job.request.service)
+        health = self.get_health(job.request.account)
+        expected = health.get_expected_run_s(job.request.service)
         for allotment in allotments:
             link = self._links[allotment.worker.name]
             indexes = job.take_waiting(allotment.count)
@@ -541,5 +546,6 @@
                 job.move(index, TaskState.SENT)
                 link.add_start(job, index, now)
             usage.running += len(indexes)
+            health.note_sent(allotment.worker.name, len(indexes))
             self._backlog.charge(job.request.account, expected * len(indexes))
             self._backlog.note_taken(job, len(indexes))
--- a/dalemast/core/placement/__init__.py
+++ b/dalemast/core/placement/__init__.py
@@ -9,7 +9,7 @@
     StaleShortestQueuePlacement,
     get_placement,
 )
-from dalemast.core.placement.health import HealthMonitor, ServiceObservations
+from dalemast.core.placement.health import HealthMonitor, ServiceObservations, WorkerStanding
 from dalemast.core.placement.workers import WorkerPool, WorkerView
 
 __all__ = [
@@ -23,6 +23,7 @@
     "SpreadingPlacement",
     "StaleShortestQueuePlacement",
     "WorkerPool",
+    "WorkerStanding",
     "WorkerView",
     "get_placement",
 ]
--- a/dalemast/core/placement/base.py
+++ b/dalemast/core/placement/base.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from dalemast.core.placement.health import HealthMonitor
 from dalemast.core.placement.workers import WorkerView
 
 __all__ = ["Allotment", "BasePlacement"]
@@ -29,7 +30,11 @@
         *,
         count: int,
         candidates: Sequence[WorkerView],
+        health: HealthMonitor,
         now: float,
         rng: random.Random,
     ) -> list[Allotment]:
-        """Allot at most ``count`` tasks; an empty list means that nothing has room now."""
+        """Allot at most ``count`` tasks; an empty list means that nothing has room now.
+
+        ``health`` is what the job's account has seen of the workers.
+        """
--- a/dalemast/core/placement/choices.py
+++ b/dalemast/core/placement/choices.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from dalemast.core.placement.base import Allotment, BasePlacement
+from dalemast.core.placement.health import HealthMonitor
 from dalemast.core.placement.workers import WorkerView
 
 __all__ = [
@@ -33,11 +34,12 @@
         *,
         count: int,
         candidates: Sequence[WorkerView],
+        health: HealthMonitor,
         now: float,
         rng: random.Random,
     ) -> list[Allotment]:
         """Allot tasks where there is room, near workers first."""
-        near, far = self._get_open(candidates, now, rng)
+        near, far = self._get_open(candidates, health, now, rng)
         allotments = self._allot(count, near, rng)
         missing = count - sum(allotment.count for allotment in allotments)
         if missing and far:
@@ -45,7 +47,11 @@
         return allotments
 
     def _get_open(
-        self, candidates: Sequence[WorkerView], now: float, rng: random.Random
+        self,
+        candidates: Sequence[WorkerView],
+        health: HealthMonitor,
+        now: float,
+        rng: random.Random,
     ) -> tuple[list[tuple[int, WorkerView]], list[tuple[int, WorkerView]]]:
         if len(candidates) > SAMPLE_SIZE:
             candidates = rng.sample(candidates, SAMPLE_SIZE)
@@ -53,6 +59,8 @@
         far: list[tuple[int, WorkerView]] = []
         for worker in candidates:
             room = worker.get_room(now=now, queue_limit=self._queue_limit)
+            if room > 0:
+                room = health.get_allowance(worker.name, room)
             if room > 0:
                 is_near = worker.endpoint.data_centre == self._data_centre
                 (near if is_near else far).append((room, worker))
@@ -117,6 +125,7 @@
         *,
         count: int,
         candidates: Sequence[WorkerView],
+        health: HealthMonitor,
         now: float,
         rng: random.Random,
     ) -> list[Allotment]:
--- a/dalemast/core/placement/health.py
+++ b/dalemast/core/placement/health.py
@@ -1,29 +1,42 @@
-"""Tell workers that fail or crawl from those that are merely unlucky.
+"""Tell workers that fail or crawl from those that are merely unlucky, for one account.
 
 A worker is judged against the others: a failure counts only when the service works elsewhere, and a
-run time only against what the service takes elsewhere.
+run time only against what the service takes elsewhere. Each account is judged by its own tasks
+alone, since payloads decide about failures and run times too: an account that sends rubbish must
+not be able to take a worker from the others.
 """
 
 from __future__ import annotations
 
 import bisect
+import enum
 import math
 from collections import deque
-from collections.abc import Sequence
 
-from dalemast.core.placement.workers import WorkerStanding, WorkerView
+__all__ = ["HealthMonitor", "ServiceObservations", "SlidingQuantiles", "WorkerStanding"]
 
-__all__ = ["HealthMonitor", "ServiceObservations", "SlidingQuantiles"]
-
-FAILURES_TO_EJECT = 4
+FAILURES_TO_EJECT = 3
 SLOW_FACTOR = 4.0
-SLOW_SAMPLES = 6
+SLOW_SAMPLES = 5
+SAMPLES_TO_JUDGE = 20
 MAX_EJECTED_SHARE = 0.34
 FIRST_EJECTION_S = 2.0
 LONGEST_EJECTION_S = 60.0
-SERVICE_BROKEN_SHARE = 0.5
+SERVICE_BROKEN_SHARE = 0.3
 """A service that fails this often everywhere says nothing about one worker."""
 
+FAILURE_STEP = 0.02
+FIRST_FAILURE_SHARE = 1.0
+"""A service is taken as broken until it has worked: the first failures prove nothing."""
+
+
+class WorkerStanding(enum.Enum):
+    """How far a worker is trusted with an account's tasks."""
+
+    GOOD = "good"
+    EJECTED = "ejected"
+    PROBATION = "probation"
+
 
 class SlidingQuantiles:
     """Quantiles of the last ``size`` values."""
@@ -53,27 +66,35 @@
 
 
 class ServiceObservations:
-    """What this entry has seen of one service: run times in seconds and the share of failures."""
+    """What was seen of one service: run times in seconds and the share of failures."""
 
     def __init__(self) -> None:
         self.run_times = SlidingQuantiles()
-        self.failure_share = 0.0
+        self.failure_share = FIRST_FAILURE_SHARE
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the service fails so often that no worker can be blamed."""
+        return self.failure_share > SERVICE_BROKEN_SHARE
 
     def add(self, *, run_s: float, is_failure: bool) -> None:
-        """Take one outcome."""
-        self.failure_share += (float(is_failure) - self.failure_share) * 0.02
+        """Take one outcome; the first successes count for more, so that trust is gained quickly."""
+        step = FAILURE_STEP if is_failure or not self.is_broken else 5 * FAILURE_STEP
+        self.failure_share += (float(is_failure) - self.failure_share) * step
         if not is_failure:
             self.run_times.add(run_s)
 
 
 class _Record:
-    __slots__ = ("ejections", "failures", "log_ratios", "until")
+    __slots__ = ("ejections", "failures", "log_ratios", "out", "standing", "until")
 
     def __init__(self) -> None:
+        self.standing = WorkerStanding.GOOD
         self.failures = 0
         self.log_ratios: deque[float] = deque(maxlen=SLOW_SAMPLES * 2)
         self.ejections = 0
         self.until = 0.0
+        self.out = 0
 
 
 class HealthMonitor:
@@ -83,6 +104,15 @@
         self._services: dict[str, ServiceObservations] = {}
         self._records: dict[str, _Record] = {}
 
+    @property
+    def ejected(self) -> tuple[str, ...]:
+        """The workers that get nothing, or one task on trial."""
+        return tuple(
+            name
+            for name, record in self._records.items()
+            if record.standing is not WorkerStanding.GOOD
+        )
+
     def get_service(self, service: str) -> ServiceObservations:
         """Return what was observed of a service."""
         return self._services.setdefault(service, ServiceObservations())
@@ -91,66 +121,83 @@
         """Return the median run time of a service, in seconds."""
         return self.get_service(service).run_times.get(0.5, default)
 
+    def get_allowance(self, worker: str, room: int) -> int:
+        """Return how many of the tasks that a worker has room for it may get."""
+        record = self._records.get(worker)
+        if record is None or record.standing is WorkerStanding.GOOD:
+            return room
+        if record.standing is WorkerStanding.EJECTED:
+            return 0
+        return min(room, max(0, 1 - record.out))
+
+    def note_sent(self, worker: str, count: int) -> None:
+        """Note that tasks went to a worker."""
+        self._get_record(worker).out += count
+
+    def note_resolved(self, worker: str) -> None:
+        """Note that a task came back from a worker, in whatever way."""
+        self._get_record(worker).out -= 1
+
     def observe(
         self,
         *,
-        worker: WorkerView,
+        worker: str,
         service: str,
         run_s: float,
         is_failure: bool,
         now: float,
-        pool: Sequence[WorkerView],
+        workers: int,
     ) -> None:
-        """Take the outcome of a task and change the worker's standing where that is due."""
+        """Take the outcome of a task; ``workers`` is how many there are to choose from."""
         observations = self.get_service(service)
-        record = self._records.setdefault(worker.name, _Record())
+        record = self._get_record(worker)
         self._judge_failures(record, observations, is_failure)
         if not is_failure:
             self._judge_speed(record, observations, run_s)
-        observations.add(run_s=run_s, is_failure=is_failure)
-        if worker.standing is WorkerStanding.PROBATION:
-            self._end_probation(worker, record, is_failure, now)
-        elif worker.standing is WorkerStanding.GOOD and self._is_bad(record):
-            self._eject(worker, record, now, pool)
+        if record.standing is WorkerStanding.GOOD or not is_failure:
+            observations.add(run_s=run_s, is_failure=is_failure)
+        if record.standing is WorkerStanding.PROBATION:
+            self._end_probation(record, is_failure, now)
+        elif record.standing is WorkerStanding.GOOD and self._is_bad(record):
+            self._eject(record, now, workers)
 
     def observe_overdue(
-        self,
-        *,
-        worker: WorkerView,
-        service: str,
-        running_s: float,
-        now: float,
-        pool: Sequence[WorkerView],
+        self, *, worker: str, service: str, running_s: float, now: float, workers: int
     ) -> None:
         """Take a task that has run for so long already that its worker may be a straggler."""
-        record = self._records.setdefault(worker.name, _Record())
+        record = self._get_record(worker)
         self._judge_speed(record, self.get_service(service), running_s)
-        if worker.standing is WorkerStanding.GOOD and self._is_bad(record):
-            self._eject(worker, record, now, pool)
+        if record.standing is WorkerStanding.GOOD and self._is_bad(record):
+            self._eject(record, now, workers)
 
-    def tick(self, *, now: float, pool: Sequence[WorkerView]) -> bool:
+    def tick(self, *, now: float) -> bool:
         """Put workers whose ejection is over on probation; tell whether any was."""
         is_changed = False
-        for worker in pool:
-            if worker.standing is not WorkerStanding.EJECTED:
-                continue
-            if now >= self._records[worker.name].until:
-                worker.standing = WorkerStanding.PROBATION
+        for record in self._records.values():
+            if record.standing is WorkerStanding.EJECTED and now >= record.until:
+                record.standing = WorkerStanding.PROBATION
                 is_changed = True
         return is_changed
 
+    def _get_record(self, worker: str) -> _Record:
+        record = self._records.get(worker)
+        if record is None:
+            record = _Record()
+            self._records[worker] = record
+        return record
+
     def _judge_failures(
         self, record: _Record, observations: ServiceObservations, is_failure: bool
     ) -> None:
         if not is_failure:
             record.failures = 0
-        elif observations.failure_share < SERVICE_BROKEN_SHARE:
+        elif not observations.is_broken:
             record.failures += 1
 
     def _judge_speed(
         self, record: _Record, observations: ServiceObservations, run_s: float
     ) -> None:
-        if len(observations.run_times) < SLOW_SAMPLES * 4:
+        if len(observations.run_times) < SAMPLES_TO_JUDGE:
             return
         usual = max(observations.run_times.get(0.5, run_s), 0.001)
         record.log_ratios.append(math.log(max(run_s, 0.001) / usual))
@@ -163,26 +210,22 @@
         middle = sorted(record.log_ratios)[len(record.log_ratios) // 2]
         return middle > math.log(SLOW_FACTOR)
 
-    def _eject(
-        self, worker: WorkerView, record: _Record, now: float, pool: Sequence[WorkerView]
-    ) -> None:
-        ejected = sum(view.standing is not WorkerStanding.GOOD for view in pool)
-        if ejected + 1 > MAX_EJECTED_SHARE * len(pool):
+    def _eject(self, record: _Record, now: float, workers: int) -> None:
+        if len(self.ejected) + 1 > MAX_EJECTED_SHARE * workers:
             return
-        worker.standing = WorkerStanding.EJECTED
+        self._close(record, now)
+
+    def _close(self, record: _Record, now: float) -> None:
+        record.standing = WorkerStanding.EJECTED
         record.until = now + min(FIRST_EJECTION_S * 2**record.ejections, LONGEST_EJECTION_S)
         record.ejections += 1
 
-    def _end_probation(
-        self, worker: WorkerView, record: _Record, is_failure: bool, now: float
-    ) -> None:
+    def _end_probation(self, record: _Record, is_failure: bool, now: float) -> None:
         is_slow = bool(record.log_ratios) and record.log_ratios[-1] > math.log(SLOW_FACTOR)
         if is_failure or is_slow:
-            worker.standing = WorkerStanding.EJECTED
-            record.until = now + min(FIRST_EJECTION_S * 2**record.ejections, LONGEST_EJECTION_S)
-            record.ejections += 1
+            self._close(record, now)
             return
-        worker.standing = WorkerStanding.GOOD
+        record.standing = WorkerStanding.GOOD
         record.failures = 0
         record.log_ratios.clear()
         record.ejections = max(0, record.ejections - 1)
--- a/dalemast/core/placement/workers.py
+++ b/dalemast/core/placement/workers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 import math
 from collections.abc import Iterable
 
@@ -11,7 +10,7 @@
 from dalemast.core.selectors.base import Operator
 from dalemast.core.wire import Load
 
-__all__ = ["WorkerPool", "WorkerStanding", "WorkerView"]
+__all__ = ["WorkerPool", "WorkerView"]
 
 OTHERS_HALF_LIFE_S = 0.25
 """After this many seconds half of what a report said of others is taken as overtaken."""
@@ -23,14 +22,6 @@
 SERVICE_LABEL = "dalemast/service."
 
 
-class WorkerStanding(enum.Enum):
-    """How far a worker is trusted."""
-
-    GOOD = "good"
-    EJECTED = "ejected"
-    PROBATION = "probation"
-
-
 class OthersAverage:
     """How many tasks other entries have on a worker, on average over recent reports.
 
@@ -70,7 +61,6 @@
         self.is_linked = False
         self.is_draining = False
         self.is_host_leaving = False
-        self.standing = WorkerStanding.GOOD
         self.slots = endpoint.slots
         self.own = 0
         self._is_awaiting_room = False
@@ -93,8 +83,6 @@
         """Whether new work may go there at all."""
         if not self.is_linked or self.is_draining or self.is_host_leaving:
             return False
-        if self.standing is WorkerStanding.EJECTED:
-            return False
         return self.endpoint.state is EndpointState.LIVE
 
     def take_report(self, *, load: Load, now: float) -> None:
@@ -129,8 +117,6 @@
         """Return how many more tasks the worker is believed to take."""
         if not self.is_usable or self._is_awaiting_room:
             return 0
-        if self.standing is WorkerStanding.PROBATION:
-            return max(0, 1 - self.own)
         return math.floor(self.slots + queue_limit - self.get_load(now) + 0.5)
 
 
--- a/dalemast/core/submissions/tickets.py
+++ b/dalemast/core/submissions/tickets.py
@@ -36,11 +36,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobName:
-    """The public name of a job: enough for any entry to find its owner."""
+    """The public name of a job: enough for any entry to find its owner.
+
+    A job is also known by the ticket it was submitted under, since its caller has no other name
+    for it before the answer; then ``is_ticket`` is set and ``number`` is the ticket's.
+    """
 
     address: str
     incarnation: str
     number: int
+    is_ticket: bool = False
 
 
 class TicketSigner:
@@ -86,14 +91,29 @@
         """Return the public name of a job."""
         return _as_text(self._jobs.dumps([name.address, name.incarnation, name.number]))
 
-    def read_job(self, text: str) -> JobName:
-        """Read a job's public name; raises :class:`ForeignSubmission` when it is none."""
+    def read_job(self, text: str, *, account: str) -> JobName:
+        """Read a job's public name or its ticket.
+
+        Raises :class:`ForeignSubmission` when it is neither, or another account's ticket.
+        """
         try:
             address, incarnation, number = self._load(self._jobs, text)
-        except (TicketInvalid, TypeError, ValueError) as error:
-            raise ForeignSubmission("no such job") from error
+        except (TicketInvalid, TypeError, ValueError):
+            return self._read_ticket_as_job(text, account)
         return JobName(address=address, incarnation=incarnation, number=number)
 
+    def _read_ticket_as_job(self, text: str, account: str) -> JobName:
+        try:
+            ticket = self.read_ticket(text, account=account)
+        except (TicketInvalid, ForeignSubmission) as error:
+            raise ForeignSubmission("no such job") from error
+        return JobName(
+            address=ticket.address,
+            incarnation=ticket.incarnation,
+            number=ticket.number,
+            is_ticket=True,
+        )
+
     def _load(self, serializer: URLSafeSerializer, text: str) -> Any:
         if len(text) > MAX_TICKET_LENGTH:
             raise TicketInvalid("the ticket is too long")
--- a/dalemast/entry/callers.py
+++ b/dalemast/entry/callers.py
@@ -11,7 +11,7 @@
 from tornado.web import Finish
 
 from dalemast.core.configuration import Account
-from dalemast.core.dispatch import JobRequest, JobResult
+from dalemast.core.dispatch import JobCancelled, JobRequest, JobResult
 from dalemast.core.exceptions import DalemastError
 from dalemast.core.submissions import (
     AnswerForgotten,
@@ -264,7 +264,7 @@
     async def get(self, text: str) -> None:
         """Wait for a job's answer."""
         account = self._authenticate()
-        name = self._context.signer.read_job(text)
+        name = self._context.signer.read_job(text, account=account.name)
         if name.incarnation != self._engine.incarnation:
             wait_ms = self._get_wait_ms()
             await self._forward("GET", account, name, f"{text}?wait_ms={wait_ms}")
@@ -274,12 +274,11 @@
     async def delete(self, text: str) -> None:
         """Cancel a job."""
         account = self._authenticate()
-        name = self._context.signer.read_job(text)
+        name = self._context.signer.read_job(text, account=account.name)
         if name.incarnation != self._engine.incarnation:
             await self._forward("DELETE", account, name, text)
             return
-        entry = _find_job(self._engine, name, account.name)
-        self._send_result(self._engine.cancel(entry), None)
+        self._send_result(_cancel_job(self._engine, name, account.name), None)
 
     async def _forward(self, method: str, account: Account, name: JobName, rest: str) -> None:
         response = await self._context.forwarder.forward(
@@ -338,16 +337,15 @@
 
     async def get(self, text: str) -> None:
         """Wait for a job's answer."""
-        await self._wait_here(self._find(text))
+        account = self._get_account()
+        name = self._context.signer.read_job(text, account=account.name)
+        await self._wait_here(_find_job(self._engine, name, account.name))
 
     async def delete(self, text: str) -> None:
         """Cancel a job."""
-        self._send_result(self._engine.cancel(self._find(text)), None)
-
-    def _find(self, text: str) -> LedgerEntry:
         account = self._get_account()
-        name = self._context.signer.read_job(text)
-        return _find_job(self._engine, name, account.name)
+        name = self._context.signer.read_job(text, account=account.name)
+        self._send_result(_cancel_job(self._engine, name, account.name), None)
 
 
 def _log_result(request: JobRequest, result: JobResult, elapsed_s: float) -> None:
@@ -363,7 +361,20 @@
     )
 
 
+def _cancel_job(engine: EntryEngine, name: JobName, account: str) -> JobResult:
+    """Cancel a job, or a ticket that was not used yet: then nothing will ever run under it."""
+    if name.is_ticket and engine.ledger.is_unused(name.number):
+        engine.ledger.refuse(TicketKey(number=name.number))
+        raise JobCancelled("the ticket was cancelled before it was used")
+    return engine.cancel(_find_job(engine, name, account))
+
+
 def _find_job(engine: EntryEngine, name: JobName, account: str) -> LedgerEntry:
+    if name.is_ticket:
+        known = engine.ledger.find(TicketKey(number=name.number))
+        if known is None:
+            raise ForeignSubmission("nothing was submitted under this ticket")
+        return known
     entry = engine.ledger.find_job(name.number, account=account)
     if entry is not None:
         return entry
--- a/dalemast/entry/operators.py
+++ b/dalemast/entry/operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -34,7 +35,7 @@
     is_linked: bool
     is_usable: bool
     is_draining: bool
-    standing: str
+    ejected_for: tuple[str, ...]
     session: str
     own_tasks: int
 
@@ -311,7 +312,10 @@
         replaced_tasks=owner.replaced_tasks,
         peers=tuple(sorted(context.membership.get_peers())),
         accounts=tuple(_get_account_state(owner, name) for name in engine.configuration.accounts),
-        workers=tuple(_get_worker_state(view) for view in owner.pool.get_views()),
+        workers=tuple(
+            _get_worker_state(view, owner, engine.configuration.accounts)
+            for view in owner.pool.get_views()
+        ),
     )
 
 
@@ -325,7 +329,7 @@
     )
 
 
-def _get_worker_state(view: Any) -> WorkerState:
+def _get_worker_state(view: Any, owner: Any, accounts: Iterable[str]) -> WorkerState:
     return WorkerState(
         endpoint=view.name,
         worker=view.endpoint.worker,
@@ -333,7 +337,9 @@
         is_linked=view.is_linked,
         is_usable=view.is_usable,
         is_draining=view.is_draining,
-        standing=view.standing.value,
+        ejected_for=tuple(
+            account for account in accounts if view.name in owner.get_health(account).ejected
+        ),
         session=view.session,
         own_tasks=view.own,
     )
--- a/dalemast/local/process.py
+++ b/dalemast/local/process.py
@@ -114,6 +114,7 @@
             operators=ListenerSettings(address=self._operators if is_first else FREE_ADDRESS),
             policy=self._policy,
             log=self._log,
+            peers=tuple(entry.operators_address for entry in self.entries),
             poll_interval_s=0.2,
         )
         entry = EntryProcess(settings=settings, platform=platform, system_key=self._system_key)
--- a/dalemast/local/samples.py
+++ b/dalemast/local/samples.py
@@ -83,7 +83,7 @@
         seconds = float(payload["ms"]) / 1000.0 * self._state.slowdown.get(self._name, 1.0)
         # The clock starts with the request, so that parsing it is part of the task's time.
         await asyncio.sleep(max(0.0, seconds - self.request.request_time()))
-        return {"ms": payload["ms"]}
+        return payload
 
     def _count(self, payload: Any) -> int:
         name = str(payload["name"])
@@ -102,7 +102,9 @@
         """Tell how often each task was started at the endpoints of this process."""
         is_whole = self.get_query_argument("all", "") != ""
         tasks = self._state.tasks if is_whole else {}
-        self.send_json({"started": self._state.tasks.total(), "tasks": tasks})
+        names = self._state.starts if is_whole else {}
+        total = self._state.tasks.total()
+        self.send_json({"started": total, "tasks": tasks, "names": names})
 
     def put(self) -> None:
         """Make this endpoint slow or failing, or sound again."""
--- a/dalemast/management/base.py
+++ b/dalemast/management/base.py
@@ -16,9 +16,9 @@
 from dalemast.management.commands.ctl import CtlCommand
 from dalemast.management.commands.demo import DemoCommand
 from dalemast.management.commands.entry import EntryCommand
-from dalemast.management.commands.errors import ErrorsCommand
 from dalemast.management.commands.local import LocalCommand
 from dalemast.management.commands.platform import PlatformCommand
+from dalemast.management.commands.reference import ReferenceCommand
 from dalemast.management.commands.samples import SamplesCommand
 from dalemast.management.output import ExitCode, print_error
 
@@ -39,7 +39,7 @@
         | DemoCommand
         | PlatformCommand
         | SamplesCommand
-        | ErrorsCommand
+        | ReferenceCommand
     ]
 
 
--- a/dalemast/management/exceptions.py
+++ b/dalemast/management/exceptions.py
@@ -2,7 +2,7 @@
 
 from dalemast.core.exceptions import DalemastError
 
-__all__ = ["NotInForce", "OutputInvalid", "RequestFailed"]
+__all__ = ["NotInForce", "OutputInvalid", "PageUnknown", "RequestFailed"]
 
 
 class RequestFailed(DalemastError):
@@ -27,3 +27,11 @@
     code = "E1953"
     status = 504
     hint = "dalemast ctl status shows which entries are behind or out of reach."
+
+
+class PageUnknown(DalemastError):
+    """There is no such page of the reference."""
+
+    code = "E1954"
+    status = 400
+    hint = "errors and settings are made from the code."
--- a/dalemast/management/roles.py
+++ b/dalemast/management/roles.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import importlib
-import secrets
 import sys
 from typing import Any, TypeVar
 
@@ -49,7 +48,7 @@
 
 def read_system_key(settings: EntrySettings | AgentSettings) -> bytes:
     """Return the system's key."""
-    return get_secret(settings.system_key, "system_key").encode() or secrets.token_bytes(32)
+    return get_secret(settings.system_key, "system_key").encode()
 
 
 def load_platform(settings: PlatformSettings) -> BasePlatform:
--- /dev/null
+++ b/tests/core/test_health.py
@@ -0,0 +1,105 @@
+"""Bad workers are told from bad luck, and from another account's rubbish."""
+
+from __future__ import annotations
+
+import testtools
+
+from dalemast.core.placement import HealthMonitor
+
+WORKERS = 10
+NOW = 100.0
+
+
+class HealthTestCase(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.health = HealthMonitor()
+
+    def observe(
+        self, worker: int, *, run_s: float = 0.1, fails: bool = False, now: float = NOW
+    ) -> None:
+        self.health.observe(
+            worker=f"w{worker}",
+            service="s",
+            run_s=run_s,
+            is_failure=fails,
+            now=now,
+            workers=WORKERS,
+        )
+
+    def work(self, rounds: int = 6, run_s: float = 0.1) -> None:
+        for _ in range(rounds):
+            for worker in range(1, WORKERS):
+                self.observe(worker, run_s=run_s)
+
+
+class FailureTests(HealthTestCase):
+    def test_worker_that_fails_what_works_elsewhere_is_ejected(self) -> None:
+        self.work()
+        for _ in range(3):
+            self.observe(0, run_s=0.001, fails=True)
+        self.assertEqual(self.health.ejected, ("w0",))
+        self.assertEqual(self.health.get_allowance("w0", 8), 0)
+
+    def test_service_that_fails_everywhere_ejects_nobody(self) -> None:
+        for _ in range(20):
+            for worker in range(WORKERS):
+                self.observe(worker, fails=True)
+        self.assertEqual(self.health.ejected, ())
+
+    def test_first_failures_of_an_unknown_service_prove_nothing(self) -> None:
+        for _ in range(10):
+            self.observe(0, fails=True)
+        self.assertEqual(self.health.ejected, ())
+
+    def test_only_a_bounded_share_is_ejected(self) -> None:
+        self.work(rounds=30)
+        for worker in range(WORKERS):
+            for _ in range(3):
+                self.observe(worker, fails=True)
+        self.assertLessEqual(len(self.health.ejected), 3)
+
+    def test_probation_is_one_task_at_a_time_and_ends_with_a_success(self) -> None:
+        self.work()
+        for _ in range(3):
+            self.observe(0, fails=True)
+        self.assertFalse(self.health.tick(now=NOW + 1.0))
+        self.assertTrue(self.health.tick(now=NOW + 3.0))
+        self.assertEqual(self.health.get_allowance("w0", 8), 1)
+        self.health.note_sent("w0", 1)
+        self.assertEqual(self.health.get_allowance("w0", 8), 0)
+        self.health.note_resolved("w0")
+        self.observe(0, now=NOW + 3.1)
+        self.assertEqual(self.health.get_allowance("w0", 8), 8)
+
+    def test_failed_probation_waits_longer(self) -> None:
+        self.work()
+        for _ in range(3):
+            self.observe(0, fails=True)
+        self.health.tick(now=NOW + 3.0)
+        self.observe(0, fails=True, now=NOW + 3.0)
+        self.assertFalse(self.health.tick(now=NOW + 6.0))
+        self.assertTrue(self.health.tick(now=NOW + 8.0))
+
+
+class SpeedTests(HealthTestCase):
+    def test_straggler_is_ejected_by_its_run_times(self) -> None:
+        self.work()
+        for _ in range(6):
+            self.observe(0, run_s=1.0)
+        self.assertEqual(self.health.ejected, ("w0",))
+
+    def test_straggler_is_noticed_before_its_tasks_end(self) -> None:
+        self.work()
+        for _ in range(6):
+            self.health.observe_overdue(
+                worker="w0", service="s", running_s=0.7, now=NOW, workers=WORKERS
+            )
+        self.assertEqual(self.health.ejected, ("w0",))
+
+    def test_service_that_gets_slow_everywhere_ejects_nobody(self) -> None:
+        self.work()
+        for _ in range(12):
+            for worker in range(WORKERS):
+                self.observe(worker, run_s=0.35)
+        self.assertEqual(self.health.ejected, ())
--- /dev/null
+++ b/tests/entry/test_configuration_store.py
@@ -0,0 +1,178 @@
+"""Changes of the configuration: races, lost answers, and what entries do with versions."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from dalemast.core.configuration import (
+    ConfigurationInvalid,
+    UnknownName,
+    VersionConflict,
+)
+from dalemast.entry.configuration import ConfigurationStore
+from dalemast.platform import (
+    BaseTable,
+    Condition,
+    FaultControls,
+    MemoryPlatform,
+    PlatformAnswerLost,
+    Put,
+    Row,
+)
+from tests.base import AsyncTestCase, LocalSystem, wait_until
+
+
+class LossyTable(BaseTable):
+    """A table whose next transactions lose their answer, before or after the write."""
+
+    def __init__(self, table: BaseTable, losses: list[str]) -> None:
+        self._table = table
+        self._losses = losses
+
+    async def get_rows(self, keys: tuple[str, ...]) -> tuple[Row | None, ...]:
+        return await self._table.get_rows(keys)
+
+    async def insert_rows(self, puts: tuple[Put, ...]) -> tuple[Row, ...]:
+        return await self._table.insert_rows(puts)
+
+    async def transact(self, *, conditions: tuple[Condition, ...], puts: tuple[Put, ...]) -> None:
+        loss = self._losses.pop(0) if self._losses else ""
+        if loss == "before":
+            raise PlatformAnswerLost("lost before the write")
+        await self._table.transact(conditions=conditions, puts=puts)
+        if loss == "after":
+            raise PlatformAnswerLost("lost after the write")
+
+
+def name_account(name: str) -> dict[str, object]:
+    return {"accounts": [{"name": name}]}
+
+
+class StoreTests(AsyncTestCase):
+    def test_operators_who_race_have_one_winner(self) -> None:
+        async def run() -> None:
+            store = ConfigurationStore(table=MemoryPlatform().table)
+            results = await asyncio.gather(
+                *(store.replace(expected_version=0, kinds=name_account(f"a{n}")) for n in range(8)),
+                return_exceptions=True,
+            )
+            conflicts = [r for r in results if isinstance(r, VersionConflict)]
+            winners = [r for r in results if not isinstance(r, BaseException)]
+            self.assertEqual((len(winners), len(conflicts)), (1, 7))
+            current = await store.read()
+            self.assertEqual((current.version, current.accounts), (1, winners[0].accounts))
+
+        self.run_async(run())
+
+    def test_lost_answers_are_resolved_to_the_truth(self) -> None:
+        cases = [["after"], ["before"], ["before", "after"], ["before", "before", "before"]]
+
+        async def run(losses: list[str]) -> None:
+            platform = MemoryPlatform()
+            store = ConfigurationStore(table=LossyTable(platform.table, list(losses)))
+            await store.replace(expected_version=0, kinds=name_account("kept"))
+            current = await store.read()
+            self.assertEqual((current.version, current.accounts[0].name), (1, "kept"))
+
+        for losses in cases:
+            self.run_async(run(losses))
+
+    def test_lost_answer_whose_write_was_beaten_is_a_conflict(self) -> None:
+        async def run() -> None:
+            platform = MemoryPlatform()
+            rival = ConfigurationStore(table=platform.table)
+
+            class BeatenTable(LossyTable):
+                async def transact(self, **arguments: Any) -> None:
+                    await rival.replace(expected_version=0, kinds=name_account("rival"))
+                    raise PlatformAnswerLost("lost, and another was first")
+
+            store = ConfigurationStore(table=BeatenTable(platform.table, []))
+            failed: BaseException | None = None
+            try:
+                await store.replace(expected_version=0, kinds=name_account("mine"))
+            except (VersionConflict, PlatformAnswerLost) as error:
+                failed = error
+            self.assertIsInstance(failed, VersionConflict)
+            self.assertEqual((await rival.read()).accounts[0].name, "rival")
+
+        self.run_async(run())
+
+    def test_invalid_change_is_refused_whole(self) -> None:
+        async def run() -> None:
+            store = ConfigurationStore(table=MemoryPlatform().table)
+            failed = False
+            try:
+                kinds: dict[str, object] = {"accounts": [{"name": "a"}, {"name": "a"}]}
+                await store.replace(expected_version=0, kinds=kinds)
+            except ConfigurationInvalid:
+                failed = True
+            self.assertTrue(failed)
+            self.assertEqual(await store.get_version(), 0)
+
+        self.run_async(run())
+
+    def test_delete_of_an_unknown_name_is_refused(self) -> None:
+        async def run() -> None:
+            store = ConfigurationStore(table=MemoryPlatform().table)
+            failed = False
+            try:
+                await store.delete(kind="accounts", name="nobody")
+            except UnknownName:
+                failed = True
+            self.assertTrue(failed)
+
+        self.run_async(run())
+
+
+class InForceTests(AsyncTestCase):
+    def test_change_is_in_force_at_every_entry_and_survives_an_outage(self) -> None:
+        async def run() -> None:
+            async with LocalSystem(entry_count=3) as system:
+                current = await system.operate("GET", "/v1/configuration")
+                version = current.decode(dict)["version"]
+                kinds = {"limits": [{"name": "platform", "max_tasks_per_job": 2}]}
+                body = {"version": version, "kinds": kinds}
+                answer = await system.operate("PUT", "/v1/configuration", body)
+                self.assertEqual(answer.status, 200)
+                engines = [entry.engine for entry in system.process.entries]
+                await wait_until(
+                    lambda: all(e.configuration.version == version + 1 for e in engines)
+                )
+                system.process.platform.set_faults(FaultControls(is_down=True))
+                fresh = await system.process.start_entry(4)
+                await wait_until(lambda: fresh.engine.configuration.is_ready)
+                self.assertEqual(fresh.engine.configuration.version, version + 1)
+                self.assertEqual(fresh.engine.configuration.limits.max_tasks_per_job, 2)
+
+        self.run_async(run())
+
+    def test_stale_change_is_a_conflict_over_http(self) -> None:
+        async def run() -> None:
+            async with LocalSystem() as system:
+                body = {"version": 0, "kinds": {"limits": [{"name": "platform"}]}}
+                answer = await system.operate("PUT", "/v1/configuration", body)
+                self.assertEqual((answer.status, answer.get_error_code()), (409, "E1302"))
+
+        self.run_async(run())
+
+    def test_leaving_endpoint_gets_no_new_work(self) -> None:
+        async def run() -> None:
+            async with LocalSystem() as system:
+                answer = await system.operate("GET", "/v1/configuration")
+                current = answer.decode(dict)
+                endpoints = current["endpoints"]
+                for endpoint in endpoints[1:]:
+                    endpoint["state"] = "leaving"
+                body = {"version": current["version"], "kinds": {"endpoints": endpoints}}
+                await system.operate("PUT", "/v1/configuration", body)
+                caller = system.make_caller()
+                from tests.base import make_job
+
+                result = await caller.submit(make_job("echo", *range(20)))
+                self.assertEqual(result.status, 200)
+                started = [agent.engine.gate.started for agent in system.process.agents]
+                self.assertEqual(started, [20, 0, 0])
+
+        self.run_async(run())
--- a/tests/entry/test_submissions.py
+++ b/tests/entry/test_submissions.py
@@ -153,8 +153,7 @@
                 task = asyncio.create_task(system.submit(body, ticket=ticket))
                 engine = system.process.entries[0].engine
                 await wait_until(lambda: engine.open_jobs == 1)
-                entry = next(iter(engine.ledger._entries.values()))
-                job = self.name_job(system, entry.submission.job)
+                job = ticket
                 pending = await system.request("GET", f"/v1/jobs/{job}?wait_ms=0", entry=1)
                 self.assertEqual((pending.status, read(pending)["outcome"]), (202, "pending"))
                 cancelled = await system.request("DELETE", f"/v1/jobs/{job}", entry=1)
@@ -195,13 +194,14 @@
 
         self.run_async(run())
 
-    def name_job(self, system: LocalSystem, number: int) -> str:
-        from dalemast.core.submissions import JobName, TicketSigner
+    def test_ticket_that_is_cancelled_before_its_use_never_runs(self) -> None:
+        async def run() -> None:
+            async with LocalSystem(entry_count=2) as system:
+                ticket = await system.get_ticket()
+                cancelled = await system.request("DELETE", f"/v1/jobs/{ticket}", entry=1)
+                self.assertEqual(read(cancelled)["run"], "not_run")
+                answer = await system.submit(make_job("count", {"name": "late"}), ticket=ticket)
+                self.assertEqual(read(answer)["run"], "not_run")
+                self.assertEqual(system.process.samples.starts["late"], 0)
 
-        process = system.process
-        name = JobName(
-            address=process.operators_address,
-            incarnation=process.entries[0].engine.incarnation,
-            number=number,
-        )
-        return TicketSigner(key=process._system_key).sign_job(name)
+        self.run_async(run())
