Forecast with means and with the job's own tasks

Cause: under overload admitted jobs missed their deadline, since the forecast took the median of a skewed run time for a queue's worth and left out the tasks of the job itself.

--- a/dalemast/bench/report.py
+++ b/dalemast/bench/report.py
@@ -129,7 +129,7 @@
         partial_answers=sum(_is_partial(record) for record in records),
         entry_ms_per_task=_round(usage.entry_processor_s * 1000 / tasks),
         agent_ms_per_task=_round(usage.agent_processor_s * 1000 / tasks),
-        goodput=_round(work_s / (slots * usage.seconds)),
+        goodput=_round(work_s / (slots * _get_span(counted))),
         frames={
             name: count
             for name, count in sorted(usage.counters.items())
@@ -140,6 +140,14 @@
     )
 
 
+def _get_span(records: Sequence[JobRecord]) -> float:
+    """Return the seconds from the first arrival to the last answer."""
+    if not records:
+        return math.inf
+    first = min(record.arrival.at_s for record in records)
+    return max(record.arrival.at_s + record.response_s for record in records) - first
+
+
 def _round(value: float) -> float:
     return round(value, 4)
 
--- a/dalemast/core/admission/policies.py
+++ b/dalemast/core/admission/policies.py
@@ -15,7 +15,7 @@
 
 __all__ = ["DeadlineAdmission", "OpenAdmission", "get_admission"]
 
-DEADLINE_SHARE = 0.85
+DEADLINE_SHARE = 0.8
 """The part of a deadline that the forecast may fill; the rest is for what it cannot know."""
 
 
--- a/dalemast/core/dispatch/owner.py
+++ b/dalemast/core/dispatch/owner.py
@@ -226,25 +226,28 @@
     def _forecast(
         self, account: Account, request: JobRequest, candidates: tuple[WorkerView, ...]
     ) -> Forecast:
-        """Foresee the end of a job: the account's backlog over the slots it can count on.
+        """Foresee the end of a job: the work before its last task over the slots it can count on.
 
         The slots this owner holds now are what it wins against the other entries; a backlog of
-        other accounts leaves this one its weighted share of them.
+        other accounts leaves this one its weighted share of them. The mean is what adds up over a
+        queue; the high quantile is what the last task may take.
         """
         observations = self.get_health(account.name).get_service(request.service)
-        middle = observations.run_times.get(0.5, ASSUMED_RUN_S)
+        mean = observations.run_times.get_mean(ASSUMED_RUN_S)
         high = observations.run_times.get(HIGH_QUANTILE, ASSUMED_RUN_S)
         usage = self._backlog.get_usage(account.name)
         slots = sum(view.slots for view in candidates if view.is_usable)
         held = self._backlog.get_running()
-        reachable = float(held) if len(self._backlog) else slots / self._entries
+        is_busy = bool(len(self._backlog))
+        reachable = float(held) if is_busy else slots / self._entries
         weights = self._backlog.active_weight
         if not usage.queued_tasks:
             weights += account.weight
         share = account.weight / max(weights, account.weight)
-        tasks_ahead = usage.queued_tasks + max(0, len(request.payloads) - slots)
+        free = 0 if is_busy else max(0, slots // self._entries - held)
+        tasks_ahead = usage.queued_tasks + max(0, len(request.payloads) - free)
         return Forecast(
-            queued_s=tasks_ahead * middle,
+            queued_s=tasks_ahead * mean,
             drain_rate=max(1.0, min(reachable, float(slots)) * share),
             run_s=high,
         )
--- a/dalemast/core/placement/health.py
+++ b/dalemast/core/placement/health.py
@@ -45,6 +45,7 @@
         self._size = size
         self._order: deque[float] = deque()
         self._sorted: list[float] = []
+        self._sum = 0.0
 
     def __len__(self) -> int:
         return len(self._sorted)
@@ -54,8 +55,14 @@
         if len(self._order) >= self._size:
             oldest = self._order.popleft()
             del self._sorted[bisect.bisect_left(self._sorted, oldest)]
+            self._sum -= oldest
         self._order.append(value)
         bisect.insort(self._sorted, value)
+        self._sum += value
+
+    def get_mean(self, default: float) -> float:
+        """Return the mean, or the default while nothing was seen."""
+        return self._sum / len(self._sorted) if self._sorted else default
 
     def get(self, quantile: float, default: float) -> float:
         """Return a quantile, or the default while nothing was seen."""
