Notice stragglers from their first overdue tasks; share failed trials

Cause: four monitors (two accounts, two entries) each tried a bad worker by themselves, and each saw too few tasks of a straggler to judge it before they ended. Change: a failed trial puts off the trials of the accounts that also found the worker bad; three of five slow run times eject; tasks count as slow from four times their usual time, while they run; a worker that holds one goes last in the order.

--- a/dalemast/core/dispatch/links.py
+++ b/dalemast/core/dispatch/links.py
@@ -91,6 +91,7 @@
             self.view.own -= 1
         self.revoking.discard(key)
         self.overdue.discard(key)
+        self.view.overdue = len(self.overdue)
         return found
 
     def accept_number(self, frame: AgentFrame, now: float) -> bool:
--- a/dalemast/core/dispatch/owner.py
+++ b/dalemast/core/dispatch/owner.py
@@ -54,7 +54,7 @@
 JOBS_SCANNED_PER_ACCOUNT = 8
 """How far behind a job that cannot be placed the same account's jobs are looked at."""
 
-OVERDUE_FACTOR = 6.0
+OVERDUE_FACTOR = 4.0
 MIN_OVERDUE_S = 0.3
 HIGH_QUANTILE = 0.95
 ASSUMED_RUN_S = 0.2
@@ -371,7 +371,8 @@
     ) -> None:
         if not self._policy.is_ejecting:
             return
-        self.get_health(job.request.account).observe(
+        own = self.get_health(job.request.account)
+        has_failed_trial = own.observe(
             worker=link.view.name,
             service=job.request.service,
             run_s=run_s,
@@ -379,6 +380,10 @@
             now=now,
             workers=len(self._pool),
         )
+        if has_failed_trial:
+            for health in self._health.values():
+                if health is not own:
+                    health.postpone(worker=link.view.name, now=now)
 
     def _settle_usage(self, link: WorkerLink, item: Outstanding, used_s: float) -> None:
         request = item.job.request
@@ -434,6 +439,7 @@
             if age < max(expected * OVERDUE_FACTOR, MIN_OVERDUE_S):
                 continue
             link.overdue.add(key)
+            link.view.overdue = len(link.overdue)
             if self._policy.is_ejecting:
                 health.observe_overdue(
                     worker=link.view.name,
--- a/dalemast/core/placement/choices.py
+++ b/dalemast/core/placement/choices.py
@@ -23,7 +23,12 @@
 
 
 class _RoomPlacement(BasePlacement):
-    """Shared by the policies that look at room: local data centre first, then the others."""
+    """Shared by the policies that look at room.
+
+    The local data centre goes first, then the others, and last the workers that hold an overdue
+    task: they may be stragglers, and only the order tells them from sound ones until they are
+    ejected, so that no account can shut a worker to the others with long tasks.
+    """
 
     def __init__(self, *, data_centre: str = "", queue_limit: int = 0) -> None:
         self._data_centre = data_centre
@@ -38,33 +43,39 @@
         now: float,
         rng: random.Random,
     ) -> list[Allotment]:
-        """Allot tasks where there is room, near workers first."""
-        near, far = self._get_open(candidates, health, now, rng)
-        allotments = self._allot(count, near, rng)
-        missing = count - sum(allotment.count for allotment in allotments)
-        if missing and far:
-            allotments += self._allot(missing, far, rng)
+        """Allot tasks where there is room, tier by tier."""
+        allotments: list[Allotment] = []
+        for tier in self._get_tiers(candidates, health, now, rng):
+            if tier and count:
+                chosen = self._allot(count, tier, rng)
+                count -= sum(allotment.count for allotment in chosen)
+                allotments += chosen
         return allotments
 
-    def _get_open(
+    def _get_tiers(
         self,
         candidates: Sequence[WorkerView],
         health: HealthMonitor,
         now: float,
         rng: random.Random,
-    ) -> tuple[list[tuple[int, WorkerView]], list[tuple[int, WorkerView]]]:
+    ) -> tuple[list[tuple[int, WorkerView]], ...]:
         if len(candidates) > SAMPLE_SIZE:
             candidates = rng.sample(candidates, SAMPLE_SIZE)
         near: list[tuple[int, WorkerView]] = []
         far: list[tuple[int, WorkerView]] = []
+        suspect: list[tuple[int, WorkerView]] = []
         for worker in candidates:
             room = worker.get_room(now=now, queue_limit=self._queue_limit)
-            if room > 0:
-                room = health.get_allowance(worker.name, room)
-            if room > 0:
-                is_near = worker.endpoint.data_centre == self._data_centre
-                (near if is_near else far).append((room, worker))
-        return near, far
+            room = health.get_allowance(worker.name, room) if room > 0 else 0
+            if room <= 0:
+                continue
+            if worker.overdue:
+                suspect.append((room, worker))
+            elif worker.endpoint.data_centre == self._data_centre:
+                near.append((room, worker))
+            else:
+                far.append((room, worker))
+        return near, far, suspect
 
     def _allot(
         self, count: int, workers: list[tuple[int, WorkerView]], rng: random.Random
--- a/dalemast/core/placement/health.py
+++ b/dalemast/core/placement/health.py
@@ -17,10 +17,13 @@
 
 FAILURES_TO_EJECT = 3
 SLOW_FACTOR = 4.0
-SLOW_SAMPLES = 5
+SLOW_SAMPLES = 3
+SLOW_WINDOW = 5
+"""Of this many last run times the middle one counts, once there are SLOW_SAMPLES."""
+
 SAMPLES_TO_JUDGE = 20
 MAX_EJECTED_SHARE = 0.34
-FIRST_EJECTION_S = 2.0
+FIRST_EJECTION_S = 4.0
 LONGEST_EJECTION_S = 60.0
 SERVICE_BROKEN_SHARE = 0.3
 """A service that fails this often everywhere says nothing about one worker."""
@@ -98,7 +101,7 @@
     def __init__(self) -> None:
         self.standing = WorkerStanding.GOOD
         self.failures = 0
-        self.log_ratios: deque[float] = deque(maxlen=SLOW_SAMPLES * 2)
+        self.log_ratios: deque[float] = deque(maxlen=SLOW_WINDOW)
         self.ejections = 0
         self.until = 0.0
         self.out = 0
@@ -154,8 +157,11 @@
         is_failure: bool,
         now: float,
         workers: int,
-    ) -> None:
-        """Take the outcome of a task; ``workers`` is how many there are to choose from."""
+    ) -> bool:
+        """Take the outcome of a task; ``workers`` is how many there are to choose from.
+
+        Tell whether a task on trial showed the worker to be bad still.
+        """
         observations = self.get_service(service)
         record = self._get_record(worker)
         self._judge_failures(record, observations, is_failure)
@@ -164,9 +170,19 @@
         if record.standing is WorkerStanding.GOOD or not is_failure:
             observations.add(run_s=run_s, is_failure=is_failure)
         if record.standing is WorkerStanding.PROBATION:
-            self._end_probation(record, is_failure, now)
-        elif record.standing is WorkerStanding.GOOD and self._is_bad(record):
+            return self._end_probation(record, is_failure, now)
+        if record.standing is WorkerStanding.GOOD and self._is_bad(record):
             self._eject(record, now, workers)
+        return False
+
+    def postpone(self, *, worker: str, now: float) -> None:
+        """Put a trial off, because another account's has just failed.
+
+        This only ever concerns a worker that this account has found to be bad itself.
+        """
+        record = self._records.get(worker)
+        if record is not None and record.standing is not WorkerStanding.GOOD:
+            self._close(record, now)
 
     def observe_overdue(
         self, *, worker: str, service: str, running_s: float, now: float, workers: int
@@ -227,12 +243,13 @@
         record.until = now + min(FIRST_EJECTION_S * 2**record.ejections, LONGEST_EJECTION_S)
         record.ejections += 1
 
-    def _end_probation(self, record: _Record, is_failure: bool, now: float) -> None:
+    def _end_probation(self, record: _Record, is_failure: bool, now: float) -> bool:
         is_slow = bool(record.log_ratios) and record.log_ratios[-1] > math.log(SLOW_FACTOR)
         if is_failure or is_slow:
             self._close(record, now)
-            return
+            return True
         record.standing = WorkerStanding.GOOD
         record.failures = 0
         record.log_ratios.clear()
         record.ejections = max(0, record.ejections - 1)
+        return False
--- a/dalemast/core/placement/workers.py
+++ b/dalemast/core/placement/workers.py
@@ -63,6 +63,7 @@
         self.is_host_leaving = False
         self.slots = endpoint.slots
         self.own = 0
+        self.overdue = 0
         self._is_awaiting_room = False
         self._others = 0
         self._reported_total = 0
