--- /dev/null
+++ b/tests/observability/test_logs.py
@@ -0,0 +1,61 @@
+"""Logs are structured, one action a job, and hold no token."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import eliot
+import testtools
+from eliot import _output
+
+from dalemast.observability import Metrics, set_up_logs
+from dalemast.observability.logs import LogLevel, _State
+from tests.base import AsyncTestCase, LocalSystem, make_job
+
+
+class LogTests(AsyncTestCase):
+    def test_job_is_one_action_without_tokens(self) -> None:
+        with TemporaryDirectory() as directory:
+            file = Path(directory) / "log"
+            before = list(_output.Logger._destinations._destinations)
+            set_up_logs(level="jobs", destination=str(file), process="test")
+            self.addCleanup(self.reset, before)
+
+            async def run() -> str:
+                async with LocalSystem() as system:
+                    ticket = await system.get_ticket()
+                    await system.submit(make_job("echo", 1), ticket=ticket)
+                    return ticket
+
+            ticket = self.run_async(run())
+            text = file.read_text()
+        lines: list[dict[str, Any]] = [json.loads(line) for line in text.splitlines()]
+        actions = [line for line in lines if line.get("action_type") == "job"]
+        self.assertEqual([a["action_status"] for a in actions], ["started", "succeeded"])
+        self.assertEqual(actions[0]["account"], "demo")
+        self.assertEqual(actions[1]["outcome"], "complete")
+        self.assertNotIn("demo-token", text)
+        self.assertNotIn(ticket, text)
+
+    def reset(self, destinations: list[Any]) -> None:
+        _State.level = LogLevel.NONE
+        for destination in list(_output.Logger._destinations._destinations):
+            if destination not in destinations:
+                eliot.remove_destination(destination)
+
+
+class MetricsTests(testtools.TestCase):
+    def test_dump_has_counters_and_percentiles(self) -> None:
+        metrics = Metrics()
+        metrics.count("jobs", 2)
+        for value in range(1, 101):
+            metrics.record("job", "a", value / 1000.0)
+        dump = metrics.dump()
+        self.assertEqual(dump.counters, {"jobs": 2})
+        (latency,) = dump.latencies
+        self.assertEqual(latency.count, 100)
+        self.assertTrue(49.0 <= latency.percentiles_ms["p50"] <= 52.0)
+        self.assertGreater(dump.resident_bytes, 1_000_000)
