--- a/dalemast/core/dispatch/owner.py
+++ b/dalemast/core/dispatch/owner.py
@@ -10,13 +10,7 @@
 import random
 from collections.abc import Iterable
 
-from dalemast.core.admission import (
-    AdmissionRequest,
-    BaseAdmission,
-    Forecast,
-    RetryBudget,
-    get_admission,
-)
+from dalemast.core.admission import BaseAdmission, RetryBudget, get_admission
 from dalemast.core.configuration import Account, ConfigurationHolder, EndpointState
 from dalemast.core.dispatch.backlog import Backlog
 from dalemast.core.dispatch.base import JobRequest, JobResult, OwnerEffects, OwnerPolicy
@@ -27,15 +21,15 @@
     UnknownService,
     WorkerLost,
 )
+from dalemast.core.dispatch.forecasting import ASSUMED_RUN_S, Forecaster
 from dalemast.core.dispatch.jobs import Job
 from dalemast.core.dispatch.links import Outstanding, WorkerLink
 from dalemast.core.exceptions import DalemastError
 from dalemast.core.placement import (
+    AccountHealth,
     Allotment,
     BasePlacement,
-    HealthMonitor,
     WorkerPool,
-    WorkerView,
     get_placement,
 )
 from dalemast.core.selectors import Selector, SelectorMatchesNothing, parse_selector
@@ -56,8 +50,6 @@
 
 OVERDUE_FACTOR = 4.0
 MIN_OVERDUE_S = 0.3
-HIGH_QUANTILE = 0.95
-ASSUMED_RUN_S = 0.2
 
 
 class Owner:
@@ -84,8 +76,9 @@
         self._admission: BaseAdmission = get_admission(policy.admission)
         self._pool = WorkerPool()
         self._links: dict[str, WorkerLink] = {}
-        self._health: dict[str, HealthMonitor] = {}
+        self._health = AccountHealth()
         self._backlog = Backlog()
+        self._forecaster = Forecaster(backlog=self._backlog, health=self._health)
         self._retries = RetryBudget(rate_per_s=500.0, now=now)
         self._jobs: dict[int, Job] = {}
         self._deadlines: list[tuple[float, int]] = []
@@ -106,13 +99,10 @@
         """The workers as this owner sees them."""
         return self._pool
 
-    def get_health(self, account: str) -> HealthMonitor:
-        """Return what an account's tasks have shown of services and workers."""
-        monitor = self._health.get(account)
-        if monitor is None:
-            monitor = HealthMonitor()
-            self._health[account] = monitor
-        return monitor
+    @property
+    def health(self) -> AccountHealth:
+        """What each account's tasks have shown of services and workers."""
+        return self._health
 
     @property
     def open_jobs(self) -> int:
@@ -171,11 +161,13 @@
                 f"every endpoint for {request.service!r} is leaving", retry_after_s=5.0
             )
         account = self._configuration.accounts[request.account]
-        self._admission.check(
-            request=self._make_admission_request(account, request, candidates),
+        asked = self._forecaster.make_request(
+            account=account,
+            request=request,
+            slots=sum(view.slots for view in candidates if view.is_usable),
             entries=self._entries,
-            now=now,
         )
+        self._admission.check(request=asked, entries=self._entries, now=now)
         return self._open_job(now, request, selectors, account)
 
     def cancel(self, *, job: int, error: DalemastError) -> None:
@@ -209,49 +201,6 @@
         self._must_dispatch = True
         return job.number
 
-    def _make_admission_request(
-        self, account: Account, request: JobRequest, candidates: tuple[WorkerView, ...]
-    ) -> AdmissionRequest:
-        usage = self._backlog.get_usage(account.name)
-        return AdmissionRequest(
-            account=account,
-            tasks=len(request.payloads),
-            size_bytes=request.size_bytes,
-            deadline_s=request.deadline_s,
-            queued_tasks=usage.queued_tasks,
-            queued_bytes=usage.queued_bytes,
-            forecast=self._forecast(account, request, candidates),
-        )
-
-    def _forecast(
-        self, account: Account, request: JobRequest, candidates: tuple[WorkerView, ...]
-    ) -> Forecast:
-        """Foresee the end of a job: the work before its last task over the slots it can count on.
-
-        The slots this owner holds now are what it wins against the other entries; a backlog of
-        other accounts leaves this one its weighted share of them. The mean is what adds up over a
-        queue; the high quantile is what the last task may take.
-        """
-        observations = self.get_health(account.name).get_service(request.service)
-        mean = observations.run_times.get_mean(ASSUMED_RUN_S)
-        high = observations.run_times.get(HIGH_QUANTILE, ASSUMED_RUN_S)
-        usage = self._backlog.get_usage(account.name)
-        slots = sum(view.slots for view in candidates if view.is_usable)
-        held = self._backlog.get_running()
-        is_busy = bool(len(self._backlog))
-        reachable = float(held) if is_busy else slots / self._entries
-        weights = self._backlog.active_weight
-        if not usage.queued_tasks:
-            weights += account.weight
-        share = account.weight / max(weights, account.weight)
-        free = 0 if is_busy else max(0, slots // self._entries - held)
-        tasks_ahead = usage.queued_tasks + max(0, len(request.payloads) - free)
-        return Forecast(
-            queued_s=tasks_ahead * mean,
-            drain_rate=max(1.0, min(reachable, float(slots)) * share),
-            run_s=high,
-        )
-
     # Links
 
     def make_hello(self, worker: str) -> EntryHello | None:
@@ -369,25 +318,20 @@
     def _observe(
         self, link: WorkerLink, job: Job, run_s: float, *, is_failure: bool, now: float
     ) -> None:
-        if not self._policy.is_ejecting:
-            return
-        own = self.get_health(job.request.account)
-        has_failed_trial = own.observe(
-            worker=link.view.name,
-            service=job.request.service,
-            run_s=run_s,
-            is_failure=is_failure,
-            now=now,
-            workers=len(self._pool),
-        )
-        if has_failed_trial:
-            for health in self._health.values():
-                if health is not own:
-                    health.postpone(worker=link.view.name, now=now)
+        if self._policy.is_ejecting:
+            self._health.observe(
+                account=job.request.account,
+                worker=link.view.name,
+                service=job.request.service,
+                run_s=run_s,
+                is_failure=is_failure,
+                now=now,
+                workers=len(self._pool),
+            )
 
     def _settle_usage(self, link: WorkerLink, item: Outstanding, used_s: float) -> None:
         request = item.job.request
-        health = self.get_health(request.account)
+        health = self._health.get(request.account)
         health.note_resolved(link.view.name)
         self._backlog.get_usage(request.account).running -= 1
         expected = health.get_expected_run_s(request.service)
@@ -408,8 +352,7 @@
         """Do what time brings: deadlines, overdue tasks, probations, confirmations."""
         self._expire(now)
         self._unpark()
-        for health in self._health.values():
-            self._must_dispatch |= health.tick(now=now)
+        self._must_dispatch |= self._health.tick(now=now)
         for link in self._links.values():
             if not link.view.is_linked:
                 continue
@@ -433,7 +376,7 @@
             if key in link.overdue:
                 continue
             request = item.job.request
-            health = self.get_health(request.account)
+            health = self._health.get(request.account)
             expected = health.get_expected_run_s(request.service, ASSUMED_RUN_S)
             age = now - item.sent_at
             if age < max(expected * OVERDUE_FACTOR, MIN_OVERDUE_S):
@@ -519,7 +462,7 @@
             allotments = self._placement.choose(
                 count=min(len(job.waiting), allowance),
                 candidates=candidates,
-                health=self.get_health(account),
+                health=self._health.get(account),
                 now=now,
                 rng=self._rng,
             )
@@ -540,13 +483,13 @@
         """Tell whether a job that has started nothing cannot be done in time any more."""
         if job.has_started_work:
             return False
-        health = self.get_health(job.request.account)
+        health = self._health.get(job.request.account)
         run = health.get_service(job.request.service).run_times.get(0.25, 0.0)
         return now + run > job.deadline_at
 
     def _send(self, job: Job, allotments: list[Allotment], now: float) -> None:
         usage = self._backlog.get_usage(job.request.account)
-        health = self.get_health(job.request.account)
+        health = self._health.get(job.request.account)
         expected = health.get_expected_run_s(job.request.service)
         for allotment in allotments:
             link = self._links[allotment.worker.name]
--- a/dalemast/core/gate/gate.py
+++ b/dalemast/core/gate/gate.py
@@ -8,14 +8,13 @@
 
 from __future__ import annotations
 
-import enum
-from collections import deque
 from collections.abc import Iterator
 
 import msgspec
 
 from dalemast.core.fairness import FairQueue
 from dalemast.core.gate.base import GateEffects, OutcomeKind, RunTask, TaskOutcome
+from dalemast.core.gate.sessions import GateTask, OwnerRecord, TaskStage
 from dalemast.core.wire import (
     AgentFrame,
     AgentHello,
@@ -46,75 +45,6 @@
 """Slot-seconds charged at a start, put right when the task is done."""
 
 
-class _State(enum.Enum):
-    QUEUED = "queued"
-    RUNNING = "running"
-    ENDED = "ended"
-
-
-class _Task:
-    """A task the gate remembers; ``frame_number`` is set once its outcome is in a frame."""
-
-    __slots__ = (
-        "account",
-        "deadline_at",
-        "index",
-        "job",
-        "owner",
-        "payload",
-        "queued_at",
-        "service",
-        "started_at",
-        "state",
-    )
-
-    def __init__(
-        self, *, owner: _Owner, start: JobStart, index: int, payload: msgspec.Raw, now: float
-    ) -> None:
-        self.owner = owner
-        self.job = start.job
-        self.index = index
-        self.service = start.service
-        self.account = start.account
-        self.payload = payload
-        self.state = _State.QUEUED
-        self.queued_at = now
-        self.started_at = now
-        self.deadline_at = now + start.deadline_ms / 1000.0
-
-
-class _Owner:
-    """What the gate remembers of one owner incarnation."""
-
-    def __init__(self, *, incarnation: str, session: str) -> None:
-        self.incarnation = incarnation
-        self.session = session
-        self.connection = 0
-        self.is_linked = False
-        self.unlinked_at = 0.0
-        self.last_processed = 0
-        self.last_sent = 0
-        self.seen = 0
-        self.tasks: dict[tuple[int, int], _Task] = {}
-        self.active = 0
-        self.kept: deque[AgentFrame] = deque()
-        self.answers: list[TaskAnswer] = []
-        self.refusals: list[TaskRefusal] = []
-        self.wants_room_since: float | None = None
-        self.granted_until = 0.0
-        self.must_report = False
-
-    def confirm(self, seen: int) -> None:
-        """Forget the outcomes in all frames up to ``seen``."""
-        self.seen = max(self.seen, seen)
-        while self.kept and self.kept[0].number <= seen:
-            frame = self.kept.popleft()
-            for answer in frame.answers:
-                self.tasks.pop((answer.job, answer.index), None)
-            for refusal in frame.refusals:
-                self.tasks.pop((refusal.job, refusal.index), None)
-
-
 class Gate:
     """Accept, queue and start tasks; remember outcomes until they are confirmed.
 
@@ -138,8 +68,8 @@
         self._queue_limit = queue_limit
         self._max_links = max_links
         self._is_holding_answers = is_holding_answers
-        self._owners: dict[str, _Owner] = {}
-        self._queue: FairQueue[_Task] = FairQueue()
+        self._owners: dict[str, OwnerRecord] = {}
+        self._queue: FairQueue[GateTask] = FairQueue()
         self._running = 0
         self._sessions = 0
         self._is_draining = False
@@ -214,7 +144,7 @@
         """Yield the tasks that run now, without their payloads, for dumps."""
         for owner in self._owners.values():
             for task in owner.tasks.values():
-                if task.state is _State.RUNNING:
+                if task.state is TaskStage.RUNNING:
                     yield RunTask(
                         owner=owner.incarnation,
                         job=task.job,
@@ -277,9 +207,9 @@
         """Take the outcome of a task that ran."""
         owner = self._owners.get(outcome.owner)
         task = owner.tasks.get((outcome.job, outcome.index)) if owner is not None else None
-        if owner is None or task is None or task.state is not _State.RUNNING:
+        if owner is None or task is None or task.state is not TaskStage.RUNNING:
             return
-        task.state = _State.ENDED
+        task.state = TaskStage.ENDED
         owner.active -= 1
         self._running -= 1
         used = now - task.started_at
@@ -335,13 +265,15 @@
         )
         return GateEffects(runs=runs, frames=frames)
 
-    def _add_owner(self, incarnation: str) -> _Owner:
+    def _add_owner(self, incarnation: str) -> OwnerRecord:
         self._sessions += 1
-        owner = _Owner(incarnation=incarnation, session=f"{self._incarnation}.{self._sessions}")
+        owner = OwnerRecord(
+            incarnation=incarnation, session=f"{self._incarnation}.{self._sessions}"
+        )
         self._owners[incarnation] = owner
         return owner
 
-    def _count_granted(self, now: float, *, but: _Owner) -> int:
+    def _count_granted(self, now: float, *, but: OwnerRecord) -> int:
         """Return how many free slots are kept for other owners."""
         return sum(now < o.granted_until for o in self._owners.values() if o is not but)
 
@@ -359,18 +291,20 @@
             owner.granted_until = now + GRANT_S
             owner.must_report = True
 
-    def _accept(self, owner: _Owner, start: JobStart, *, now: float) -> None:
+    def _accept(self, owner: OwnerRecord, start: JobStart, *, now: float) -> None:
         for item in start.tasks:
             key = (start.job, item.index)
             if key in owner.tasks:
                 self._duplicate_starts += 1
                 continue
-            task = _Task(owner=owner, start=start, index=item.index, payload=item.payload, now=now)
+            task = GateTask(
+                owner=owner, start=start, index=item.index, payload=item.payload, now=now
+            )
             owner.tasks[key] = task
             reason = self._get_refusal_reason(owner, start, now)
             owner.granted_until = 0.0
             if reason is not None:
-                task.state = _State.ENDED
+                task.state = TaskStage.ENDED
                 self._refuse(owner, start.job, item.index, reason)
                 if reason is RefusalReason.FULL and owner.wants_room_since is None:
                     owner.wants_room_since = now
@@ -382,7 +316,7 @@
                 self._queue.push(account=start.account, item=task)
 
     def _get_refusal_reason(
-        self, owner: _Owner, start: JobStart, now: float
+        self, owner: OwnerRecord, start: JobStart, now: float
     ) -> RefusalReason | None:
         if self._is_draining:
             return RefusalReason.DRAINING
@@ -393,34 +327,34 @@
             return RefusalReason.FULL
         return None
 
-    def _refuse(self, owner: _Owner, job: int, index: int, reason: RefusalReason) -> None:
+    def _refuse(self, owner: OwnerRecord, job: int, index: int, reason: RefusalReason) -> None:
         owner.refusals.append(TaskRefusal(job=job, index=index, reason=reason))
 
     def _revoke(
-        self, owner: _Owner, job: int, index: int, reason: RefusalReason, *, now: float
+        self, owner: OwnerRecord, job: int, index: int, reason: RefusalReason, *, now: float
     ) -> None:
         task = owner.tasks.get((job, index))
         if task is None:
             # The start was lost on the way. Remember the revoke until the owner has our word.
             start = JobStart(job=job, service="", account="", deadline_ms=0, tasks=())
-            task = _Task(
+            task = GateTask(
                 owner=owner, start=start, index=index, payload=msgspec.Raw(b"null"), now=now
             )
-            task.state = _State.ENDED
+            task.state = TaskStage.ENDED
             owner.tasks[(job, index)] = task
             self._refuse(owner, job, index, reason)
-        elif task.state is _State.QUEUED:
+        elif task.state is TaskStage.QUEUED:
             self._drop_queued(task, reason)
 
-    def _cancel(self, owner: _Owner, job: int, *, now: float) -> None:
+    def _cancel(self, owner: OwnerRecord, job: int, *, now: float) -> None:
         for task in list(owner.tasks.values()):
-            if task.job == job and task.state is _State.QUEUED:
+            if task.job == job and task.state is TaskStage.QUEUED:
                 self._drop_queued(task, RefusalReason.CANCELLED)
 
-    def _drop_queued(self, task: _Task, reason: RefusalReason) -> None:
+    def _drop_queued(self, task: GateTask, reason: RefusalReason) -> None:
         if not self._queue.remove(account=task.account, item=task):
             return
-        task.state = _State.ENDED
+        task.state = TaskStage.ENDED
         task.owner.active -= 1
         self._refuse(task.owner, task.job, task.index, reason)
 
@@ -431,14 +365,14 @@
                 return
             task = self._queue.pop(account)
             if now >= task.deadline_at:
-                task.state = _State.ENDED
+                task.state = TaskStage.ENDED
                 task.owner.active -= 1
                 self._refuse(task.owner, task.job, task.index, RefusalReason.DEADLINE)
                 continue
             self._start(task, now=now)
 
-    def _start(self, task: _Task, *, now: float) -> None:
-        task.state = _State.RUNNING
+    def _start(self, task: GateTask, *, now: float) -> None:
+        task.state = TaskStage.RUNNING
         task.started_at = now
         self._running += 1
         self._started += 1
@@ -454,7 +388,7 @@
         )
         task.payload = msgspec.Raw(b"null")
 
-    def _is_due(self, owner: _Owner) -> bool:
+    def _is_due(self, owner: OwnerRecord) -> bool:
         """Tell whether an owner has to hear something now.
 
         A job needs its last answer, not its first: answers are held while another task of the same
@@ -471,10 +405,10 @@
             return True
         return any(not self._has_active_tasks(owner, answer.job) for answer in owner.answers)
 
-    def _has_active_tasks(self, owner: _Owner, job: int) -> bool:
-        return any(t.job == job and t.state is not _State.ENDED for t in owner.tasks.values())
+    def _has_active_tasks(self, owner: OwnerRecord, job: int) -> bool:
+        return any(t.job == job and t.state is not TaskStage.ENDED for t in owner.tasks.values())
 
-    def _make_frame(self, owner: _Owner, now: float) -> AgentFrame:
+    def _make_frame(self, owner: OwnerRecord, now: float) -> AgentFrame:
         owner.last_sent += 1
         owner.must_report = False
         frame = AgentFrame(
@@ -490,7 +424,7 @@
             owner.kept.append(frame)
         return frame
 
-    def _get_load(self, owner: _Owner, now: float) -> Load:
+    def _get_load(self, owner: OwnerRecord, now: float) -> Load:
         return Load(
             running=self._running + self._count_granted(now, but=owner),
             queued=len(self._queue),
--- a/dalemast/core/placement/__init__.py
+++ b/dalemast/core/placement/__init__.py
@@ -9,10 +9,16 @@
     StaleShortestQueuePlacement,
     get_placement,
 )
-from dalemast.core.placement.health import HealthMonitor, ServiceObservations, WorkerStanding
+from dalemast.core.placement.health import (
+    AccountHealth,
+    HealthMonitor,
+    ServiceObservations,
+    WorkerStanding,
+)
 from dalemast.core.placement.workers import WorkerPool, WorkerView
 
 __all__ = [
+    "AccountHealth",
     "Allotment",
     "BasePlacement",
     "HealthMonitor",
--- a/dalemast/core/placement/health.py
+++ b/dalemast/core/placement/health.py
@@ -13,7 +13,13 @@
 import math
 from collections import deque
 
-__all__ = ["HealthMonitor", "ServiceObservations", "SlidingQuantiles", "WorkerStanding"]
+__all__ = [
+    "AccountHealth",
+    "HealthMonitor",
+    "ServiceObservations",
+    "SlidingQuantiles",
+    "WorkerStanding",
+]
 
 FAILURES_TO_EJECT = 3
 SLOW_FACTOR = 4.0
@@ -253,3 +259,50 @@
         record.log_ratios.clear()
         record.ejections = max(0, record.ejections - 1)
         return False
+
+
+class AccountHealth:
+    """A monitor for each account; only the failure of a trial is shared between them."""
+
+    def __init__(self) -> None:
+        self._monitors: dict[str, HealthMonitor] = {}
+
+    def get(self, account: str) -> HealthMonitor:
+        """Return the monitor of an account."""
+        monitor = self._monitors.get(account)
+        if monitor is None:
+            monitor = HealthMonitor()
+            self._monitors[account] = monitor
+        return monitor
+
+    def observe(
+        self,
+        *,
+        account: str,
+        worker: str,
+        service: str,
+        run_s: float,
+        is_failure: bool,
+        now: float,
+        workers: int,
+    ) -> None:
+        """Take the outcome of a task of an account."""
+        own = self.get(account)
+        has_failed_trial = own.observe(
+            worker=worker,
+            service=service,
+            run_s=run_s,
+            is_failure=is_failure,
+            now=now,
+            workers=workers,
+        )
+        if not has_failed_trial:
+            return
+        for monitor in self._monitors.values():
+            if monitor is not own:
+                monitor.postpone(worker=worker, now=now)
+
+    def tick(self, *, now: float) -> bool:
+        """Put workers whose ejection is over on probation; tell whether any was."""
+        changes = [monitor.tick(now=now) for monitor in self._monitors.values()]
+        return any(changes)
--- a/dalemast/entry/operators.py
+++ b/dalemast/entry/operators.py
@@ -338,7 +338,7 @@
         is_usable=view.is_usable,
         is_draining=view.is_draining,
         ejected_for=tuple(
-            account for account in accounts if view.name in owner.get_health(account).ejected
+            account for account in accounts if view.name in owner.health.get(account).ejected
         ),
         session=view.session,
         own_tasks=view.own,
--- a/tests/entry/test_configuration_store.py
+++ b/tests/entry/test_configuration_store.py
@@ -15,12 +15,15 @@
     BaseTable,
     Condition,
     FaultControls,
+    Host,
+    HostRole,
+    HostState,
     MemoryPlatform,
     PlatformAnswerLost,
     Put,
     Row,
 )
-from tests.base import AsyncTestCase, LocalSystem, wait_until
+from tests.base import AsyncTestCase, LocalSystem, make_job, wait_until
 
 
 class LossyTable(BaseTable):
@@ -168,11 +171,50 @@
                 body = {"version": current["version"], "kinds": {"endpoints": endpoints}}
                 await system.operate("PUT", "/v1/configuration", body)
                 caller = system.make_caller()
-                from tests.base import make_job
-
                 result = await caller.submit(make_job("echo", *range(20)))
                 self.assertEqual(result.status, 200)
                 started = [agent.engine.gate.started for agent in system.process.agents]
                 self.assertEqual(started, [20, 0, 0])
 
         self.run_async(run())
+
+    def test_host_that_the_platform_lists_as_leaving_gets_no_new_work(self) -> None:
+        async def run() -> None:
+            async with LocalSystem() as system:
+                leaving = system.process.agents[0].engine.gate
+                name = system.process.entries[0].engine.owner.pool.get_views()[0].name
+                host = Host(
+                    name=name,
+                    role=HostRole.WORKER,
+                    address="127.0.0.1:1",
+                    state=HostState.LEAVING,
+                )
+                system.process.platform.hosts.set_host(host)
+                view = system.process.entries[0].engine.owner.pool.get(name)
+                assert view is not None
+                await wait_until(lambda: view.is_host_leaving)
+                result = await system.make_caller().submit(make_job("echo", *range(30)))
+                self.assertEqual(result.status, 200)
+                self.assertEqual(leaving.started, 0)
+
+        self.run_async(run())
+
+    def test_drained_agent_gets_no_new_work_until_it_is_put_back(self) -> None:
+        async def run() -> None:
+            async with LocalSystem() as system:
+                agent = system.process.agents[0]
+                url = f"http://{agent.operators_address}/v1"
+                await system.client.request("POST", f"{url}/drain")
+                ready = await system.client.request("GET", f"{url}/ready")
+                self.assertEqual(ready.status, 503)
+                view = system.process.entries[0].engine.owner.pool.get_views()[0]
+                await wait_until(lambda: view.is_draining)
+                caller = system.make_caller()
+                self.assertEqual((await caller.submit(make_job("echo", *range(16)))).status, 200)
+                self.assertEqual(agent.engine.gate.started, 0)
+                await system.client.request("DELETE", f"{url}/drain")
+                await wait_until(lambda: not view.is_draining)
+                self.assertEqual((await caller.submit(make_job("echo", *range(24)))).status, 200)
+                self.assertGreater(agent.engine.gate.started, 0)
+
+        self.run_async(run())
--- a/tests/faults/test_processes.py
+++ b/tests/faults/test_processes.py
@@ -212,3 +212,35 @@
             self.assertEqual(state["configuration_version"], version)
 
         self.check(body)
+
+    def test_agent_killed_and_entry_frozen_at_once_start_nothing_twice(self) -> None:
+        async def body(system: System) -> None:
+            cluster = system.cluster
+            jobs = [make_sleep(4, 400, f"both-{n}") for n in range(6)]
+            tickets = [await system.get_ticket(entry=1) for _ in jobs]
+            first = [
+                asyncio.create_task(system.submit(job, ticket, entry=1))
+                for job, ticket in zip(jobs, tickets, strict=True)
+            ]
+            await system.wait_for_starts(4)
+            cluster.entries[1].signal(signal.SIGSTOP)
+            cluster.agents[0].signal(signal.SIGKILL)
+            cluster.agents[0].wait(5.0)
+            cluster.agents[0].start()
+            again = [
+                asyncio.create_task(system.submit(job, ticket, entry=0))
+                for job, ticket in zip(jobs, tickets, strict=True)
+            ]
+            await asyncio.sleep(0.5)
+            cluster.entries[1].signal(signal.SIGCONT)
+            answers = await asyncio.gather(*first)
+            repeats = await asyncio.gather(*again)
+            starts = await system.get_starts()
+            self.assertEqual(set(starts.values()), {1})
+            for number, ((_, one), (_, two)) in enumerate(zip(answers, repeats, strict=True)):
+                self.assertEqual((one["outcome"], one["run"]), (two["outcome"], two["run"]))
+                names = [f"both-{number}-{n}" for n in range(4)]
+                if one["run"] == "not_run":
+                    self.assertFalse([name for name in names if name in starts])
+
+        self.check(body)
