Count on whole free slots only

Cause: at 60 % every seventh message inside was a refusal or what follows one, since half a slot of estimated room counted as a slot. Change: room is rounded down.

--- a/dalemast/core/placement/workers.py
+++ b/dalemast/core/placement/workers.py
@@ -118,7 +118,7 @@
         """Return how many more tasks the worker is believed to take."""
         if not self.is_usable or self._is_awaiting_room:
             return 0
-        return math.floor(self.slots + queue_limit - self.get_load(now) + 0.5)
+        return math.floor(self.slots + queue_limit - self.get_load(now))
 
 
 class WorkerPool:
