Walk only links that have something to do

Cause: the owner's part of a job and its tick were measured at 100, 1,000 and 7,700 linked workers for the first time, and both grew with the workers: each collect, tick and failure walked over every link, each submission over every candidate's slots, each tick over every health record. Change: a book of links that knows which are due and which are watched; slots counted four times a second; health records only for workers that have shown something bad; the dispatcher in a module of its own.

--- a/dalemast/bench/capacity.py
+++ b/dalemast/bench/capacity.py
@@ -165,6 +165,23 @@
                 limit=1000.0,
                 mechanism="label index, kept results, 24 sampled candidates",
             ),
+            Row(
+                what="the owner's part of a one-task job",
+                value=self.get("owner.job").at(WORKERS),
+                unit="us",
+                arithmetic="owner.job at all workers",
+                limit=1000.0,
+                mechanism="only links with something to send are walked (dispatch/linkbook.py)",
+            ),
+            Row(
+                what="watching the time",
+                value=self.get("owner.tick").at(WORKERS) * 50 / 1e4,
+                unit="% of a core",
+                arithmetic="owner.tick at all workers, 50 a second while jobs are open",
+                limit=CONTROL_CPU * 100,
+                mechanism="only links with tasks out are looked at",
+                remedy="tick less often",
+            ),
             Row(
                 what="memory",
                 value=memory / 1e6,
--- a/dalemast/bench/cluster.py
+++ b/dalemast/bench/cluster.py
@@ -127,6 +127,11 @@
         self.agents = [self._make_agent(number) for number in range(shape.workers)]
         self.entries = [self._make_entry(number) for number in range(shape.entries)]
 
+    @property
+    def system_key(self) -> bytes:
+        """The key that the processes of this cluster share."""
+        return self._environment[KEY_VARIABLE].encode()
+
     @property
     def roles(self) -> list[Role]:
         """All processes."""
--- a/dalemast/bench/slopes.py
+++ b/dalemast/bench/slopes.py
@@ -17,17 +17,29 @@
 from typing import Any
 
 import msgspec
+from tornado.httpclient import HTTPRequest
+from tornado.websocket import WebSocketClientConnection, websocket_connect
 
 from dalemast.bench.cluster import Cluster, ClusterShape
 from dalemast.bench.fit import Slope, fit_slope
 from dalemast.callers import Caller
-from dalemast.core.configuration import Account, Configuration, Endpoint, Limits, Service
-from dalemast.core.dispatch import JobResult
+from dalemast.core.configuration import (
+    Account,
+    Configuration,
+    ConfigurationHolder,
+    Endpoint,
+    Limits,
+    Service,
+)
+from dalemast.core.dispatch import JobRequest, JobResult, Owner, OwnerPolicy
 from dalemast.core.placement import HealthMonitor, PackingPlacement, WorkerPool
 from dalemast.core.selectors import Selector, parse_selector
 from dalemast.core.submissions import Submission, SubmissionLedger, TicketKey
 from dalemast.core.verdicts import Run
-from dalemast.core.wire import Load
+from dalemast.core.wire import AgentFrame, AgentHello, EntryHello, Load, TaskAnswer
+from dalemast.entry.links import PING_INTERVAL_S
+from dalemast.http.links import LINK_PATH
+from dalemast.http.security import SystemProof
 from dalemast.management.output import print_table
 from dalemast.platform import MemoryPlatform, Put
 from dalemast.platform.http import HttpPlatform
@@ -40,7 +52,8 @@
 SIZES = (100, 1000, 7700)
 JOB_SIZES = (1, 20, 55, 88)
 JOBS_PER_POINT = 120
-REST_S = 4.0
+REST_S = 8.0
+REST_LINKS = (1, 16, 32, 48)
 TRIES = 5
 
 
@@ -49,6 +62,7 @@
     slopes = [
         *measure_memory(),
         *measure_selection(),
+        *measure_owner(),
         *measure_configuration(),
         *asyncio.run(measure_processes()),
         asyncio.run(measure_claims()),
@@ -199,6 +213,77 @@
     return min(times)
 
 
+# The owner
+
+
+def measure_owner() -> list[Slope]:
+    """Return microseconds of a whole one-task job and of a tick, by the workers that are linked."""
+    jobs, ticks = [], []
+    for count in SIZES:
+        owner, names = _make_owner(count)
+        jobs.append((float(count), _time_us(lambda o=owner, n=names: _run_jobs(o, n)) / 20))  # type: ignore[misc]
+        ticks.append((float(count), _time_us(lambda o=owner: _tick(o)) / 20))  # type: ignore[misc]
+    return [
+        fit_slope(name="owner.job", x="workers", y="microseconds", points=jobs),
+        fit_slope(name="owner.tick", x="workers", y="microseconds", points=ticks),
+    ]
+
+
+def _make_owner(count: int) -> tuple[Owner, list[str]]:
+    holder = ConfigurationHolder()
+    holder.offer(
+        Configuration(
+            version=1,
+            accounts=(Account(name="a"),),
+            services=(Service(name="seat-draw"), Service(name="prize-ladder")),
+            endpoints=tuple(make_endpoints(count)),
+        )
+    )
+    owner = Owner(
+        incarnation="i",
+        entry="entry-1",
+        configuration=holder,
+        policy=OwnerPolicy(),
+        rng=random.Random(1),
+        now=0.0,
+    )
+    owner.apply_configuration()
+    names = [view.name for view in owner.pool.get_views()]
+    for name in names:
+        owner.make_hello(name)
+        hello = AgentHello(worker=name, session=name, slots=8)
+        owner.open_link(now=0.0, worker=name, hello=hello)
+    owner.collect(now=0.0)
+    return owner, names
+
+
+def _run_jobs(owner: Owner, names: list[str]) -> None:
+    """Run 20 jobs of one task each: submit, place, answer."""
+    request = JobRequest(
+        account="a",
+        service="seat-draw",
+        selector="region=r1",
+        deadline_s=10.0,
+        is_repeatable=False,
+        payloads=(msgspec.Raw(b"1"),),
+        size_bytes=10,
+    )
+    for _ in range(20):
+        owner.submit(now=0.0, request=request)
+        for name, frame in owner.collect(now=0.0).frames:
+            for start in frame.starts:
+                answer = TaskAnswer(job=start.job, index=0, run_ms=1.0)
+                reply = AgentFrame(session=name, number=start.job, answers=(answer,))
+                owner.receive(now=0.0, worker=name, frame=reply)
+        owner.collect(now=0.0)
+
+
+def _tick(owner: Owner) -> None:
+    for _ in range(20):
+        owner.tick(now=0.1)
+        owner.collect(now=0.1)
+
+
 # Configuration
 
 
@@ -287,19 +372,34 @@
 
 
 async def _measure_rest() -> Slope:
-    """Return an agent's processor time a second at rest by its links."""
+    """Return an agent's processor time a second at rest, by the links that are open to it."""
     points = []
-    for entries in (1, 2, 4):
-        async with Cluster(ClusterShape(entries=entries, workers=4)) as cluster:
-            await asyncio.sleep(0.5)
+    async with Cluster(ClusterShape(entries=1, workers=1)) as cluster:
+        links: list[WebSocketClientConnection] = []
+        for wanted in REST_LINKS:
+            while len(links) + 1 < wanted:
+                links.append(await _open_idle_link(cluster, len(links)))
             before = await _read_usage(cluster)
             await asyncio.sleep(REST_S)
             after = await _read_usage(cluster)
-            used_ms = (after["agent_ms"] - before["agent_ms"]) / len(cluster.agents) / REST_S
-            points.append((float(entries), used_ms))
+            used_ms = (after["agent_ms"] - before["agent_ms"]) / REST_S
+            points.append((float(wanted), used_ms))
     return fit_slope(name="agent.rest", x="links", y="milliseconds a second", points=points)
 
 
+async def _open_idle_link(cluster: Cluster, number: int) -> WebSocketClientConnection:
+    """Greet an agent as an owner that never sends a task."""
+    request = HTTPRequest(
+        f"ws://{cluster.link_addresses[0]}{LINK_PATH}",
+        headers=SystemProof(key=cluster.system_key).headers,
+    )
+    connection = await websocket_connect(request, ping_interval=PING_INTERVAL_S)
+    hello = EntryHello(owner=f"idle-{number}", entry="idle", connection=1)
+    await connection.write_message(msgspec.json.encode(hello), binary=False)
+    await connection.read_message()
+    return connection
+
+
 async def measure_claims() -> Slope:
     """Return the milliseconds that one group insert takes by the keys in it."""
     listen = ListenerSettings(address="127.0.0.1:0")
--- /dev/null
+++ b/dalemast/core/dispatch/dispatching.py
@@ -0,0 +1,110 @@
+"""Give waiting tasks to workers: whose turn it is, which job, which worker."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from dalemast.core.configuration import ConfigurationHolder
+from dalemast.core.dispatch.backlog import Backlog
+from dalemast.core.dispatch.jobs import Job
+from dalemast.core.dispatch.linkbook import LinkBook
+from dalemast.core.placement import AccountHealth, Allotment, BasePlacement, WorkerPool
+from dalemast.core.verdicts import TaskState
+
+__all__ = ["Dispatcher"]
+
+JOBS_SCANNED_PER_ACCOUNT = 8
+"""How far behind a job that cannot be placed the same account's jobs are looked at."""
+
+
+class Dispatcher:
+    """Places what the backlog holds. ``on_hopeless`` ends a job that cannot be done in time."""
+
+    def __init__(
+        self,
+        *,
+        backlog: Backlog,
+        pool: WorkerPool,
+        links: LinkBook,
+        health: AccountHealth,
+        placement: BasePlacement,
+        configuration: ConfigurationHolder,
+        rng: random.Random,
+        on_hopeless: Callable[[Job], None],
+    ) -> None:
+        self._backlog = backlog
+        self._pool = pool
+        self._links = links
+        self._health = health
+        self._placement = placement
+        self._configuration = configuration
+        self._rng = rng
+        self._on_hopeless = on_hopeless
+
+    def dispatch(self, *, now: float, entries: int) -> None:
+        """Place tasks until nothing that waits has room; ``entries`` divide account limits."""
+        blocked: set[int] = set()
+        stalled: set[str] = set()
+        while True:
+            account = self._backlog.get_next_account(excluding=stalled)
+            if account is None:
+                return
+            allowance = self._get_allowance(account, entries)
+            if allowance <= 0 or not self._place_one_job(account, allowance, now, blocked):
+                stalled.add(account)
+
+    def _place_one_job(self, account: str, allowance: int, now: float, blocked: set[int]) -> bool:
+        """Place tasks of the first job of an account that has somewhere to go."""
+        for job in self._backlog.get_head(account, JOBS_SCANNED_PER_ACCOUNT):
+            candidates = self._pool.get_candidates(
+                service=job.request.service, selectors=job.selectors
+            )
+            if id(candidates) in blocked:
+                continue
+            if self._is_hopeless(job, now):
+                self._on_hopeless(job)
+                return True
+            allotments = self._placement.choose(
+                count=min(len(job.waiting), allowance),
+                candidates=candidates,
+                health=self._health.get(account),
+                now=now,
+                rng=self._rng,
+            )
+            if allotments:
+                self._send(job, allotments, now)
+                return True
+            blocked.add(id(candidates))
+        return False
+
+    def _get_allowance(self, account: str, entries: int) -> int:
+        declared = self._configuration.accounts.get(account)
+        if declared is None:
+            return 1
+        limit = -(-declared.limits.running_tasks // entries)
+        return limit - self._backlog.get_usage(account).running
+
+    def _is_hopeless(self, job: Job, now: float) -> bool:
+        """Tell whether a job that has started nothing cannot be done in time any more."""
+        if job.has_started_work:
+            return False
+        health = self._health.get(job.request.account)
+        run = health.get_service(job.request.service).run_times.get(0.25, 0.0)
+        return now + run > job.deadline_at
+
+    def _send(self, job: Job, allotments: list[Allotment], now: float) -> None:
+        usage = self._backlog.get_usage(job.request.account)
+        health = self._health.get(job.request.account)
+        expected = health.get_expected_run_s(job.request.service)
+        for allotment in allotments:
+            link = self._links.get(allotment.worker.name)
+            assert link is not None
+            indexes = job.take_waiting(allotment.count)
+            for index in indexes:
+                job.move(index, TaskState.SENT)
+                link.add_start(job, index, now)
+            usage.running += len(indexes)
+            health.note_sent(allotment.worker.name, len(indexes))
+            self._backlog.charge(job.request.account, expected * len(indexes))
+            self._backlog.note_taken(job, len(indexes))
--- /dev/null
+++ b/dalemast/core/dispatch/linkbook.py
@@ -0,0 +1,67 @@
+"""All links of an owner, and which of them there is something to do about.
+
+With thousands of workers hardly any link has something to send or to watch at a given moment, so
+nothing that happens often may walk over all of them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from dalemast.core.dispatch.links import WorkerLink
+from dalemast.core.placement import WorkerPool, WorkerView
+
+__all__ = ["LinkBook"]
+
+
+class LinkBook:
+    """The links by the name of the endpoint.
+
+    ``due`` are links with something to send, ``watched`` those with tasks out or with frames that
+    the agent keeps until they are confirmed.
+    """
+
+    def __init__(self) -> None:
+        self._links: dict[str, WorkerLink] = {}
+        self._due: dict[str, WorkerLink] = {}
+        self._watched: dict[str, WorkerLink] = {}
+
+    def get(self, worker: str) -> WorkerLink | None:
+        """Return a link."""
+        return self._links.get(worker)
+
+    def update(self, pool: WorkerPool) -> None:
+        """Have a link for each worker of the pool, and no other."""
+        for view in pool.get_views():
+            if view.name not in self._links:
+                self._add(view)
+        for name in [name for name in self._links if pool.get(name) is None]:
+            del self._links[name]
+            self._due.pop(name, None)
+            self._watched.pop(name, None)
+
+    def take_due(self) -> Iterable[WorkerLink]:
+        """Return the linked ones that have something to send, each once.
+
+        What waits for a link that is down is made anew when the link comes up.
+        """
+        due = list(self._due.values())
+        self._due.clear()
+        return [link for link in due if link.has_content and link.view.is_linked]
+
+    def get_watched(self) -> list[WorkerLink]:
+        """Return the linked ones that have to be looked at as time passes."""
+        for name in [n for n, link in self._watched.items() if not link.must_be_watched]:
+            del self._watched[name]
+        return [link for link in self._watched.values() if link.view.is_linked]
+
+    def _add(self, view: WorkerView) -> None:
+        self._links[view.name] = WorkerLink(
+            view=view, on_due=self._note_due, on_watched=self._note_watched
+        )
+
+    def _note_due(self, link: WorkerLink) -> None:
+        self._due[link.view.name] = link
+
+    def _note_watched(self, link: WorkerLink) -> None:
+        self._watched[link.view.name] = link
--- a/dalemast/core/dispatch/links.py
+++ b/dalemast/core/dispatch/links.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from dalemast.core.dispatch.jobs import Job
@@ -24,7 +24,15 @@
 class WorkerLink:
     """What one owner has sent to one agent's session and not heard the end of."""
 
-    def __init__(self, *, view: WorkerView) -> None:
+    def __init__(
+        self,
+        *,
+        view: WorkerView,
+        on_due: Callable[[WorkerLink], None],
+        on_watched: Callable[[WorkerLink], None],
+    ) -> None:
+        self._on_due = on_due
+        self._on_watched = on_watched
         self.view = view
         self.outstanding: dict[tuple[int, int], Outstanding] = {}
         self.revoking: set[tuple[int, int]] = set()
@@ -45,6 +53,11 @@
         """Whether something waits to be sent."""
         return bool(self._starts or self._revokes or self._cancels or self._must_confirm)
 
+    @property
+    def must_be_watched(self) -> bool:
+        """Whether time can bring something about for this link."""
+        return bool(self.outstanding) or self.is_unconfirmed
+
     @property
     def is_unconfirmed(self) -> bool:
         """Whether the agent keeps a frame that it could forget."""
@@ -70,19 +83,24 @@
         self.outstanding[key] = Outstanding(job=job, index=index, sent_at=now)
         self._starts.setdefault(job.number, []).append(index)
         self._jobs[job.number] = job
+        self._on_due(self)
+        self._on_watched(self)
 
     def add_revoke(self, key: tuple[int, int]) -> None:
         """Note a revoke for the next frame; it is sent again on a new connection."""
         self.revoking.add(key)
         self._revokes.append(TaskKey(job=key[0], index=key[1]))
+        self._on_due(self)
 
     def add_cancel(self, job: int) -> None:
         """Note that a job is cancelled: one number for all its tasks here."""
         self._cancels.append(job)
+        self._on_due(self)
 
     def request_confirmation(self) -> None:
         """Send a frame even when it carries nothing but ``seen``."""
         self._must_confirm = True
+        self._on_due(self)
 
     def resolve(self, key: tuple[int, int]) -> Outstanding | None:
         """Take a task off the books; None when it was not on them."""
@@ -105,6 +123,7 @@
         if not self.is_unconfirmed:
             self.unconfirmed_since = now
         self.seen = frame.number
+        self._on_watched(self)
         return True
 
     def reset_session(self, session: str) -> list[Outstanding]:
@@ -122,7 +141,7 @@
     def prepare_resend(self, now: float) -> None:
         """Queue again all that a broken connection may have swallowed."""
         self._drop_pending()
-        closed: set[int] = set()
+        self._on_due(self)
         for key, item in self.outstanding.items():
             if key in self.revoking:
                 self._revokes.append(TaskKey(job=key[0], index=key[1]))
@@ -130,7 +149,6 @@
                 self._starts.setdefault(item.job.number, []).append(item.index)
                 self._jobs[item.job.number] = item.job
             else:
-                closed.add(item.job.number)
                 self.revoking.add(key)
                 self._revokes.append(TaskKey(job=key[0], index=key[1]))
 
--- a/dalemast/core/dispatch/owner.py
+++ b/dalemast/core/dispatch/owner.py
@@ -14,6 +14,7 @@
 from dalemast.core.configuration import Account, ConfigurationHolder, EndpointState
 from dalemast.core.dispatch.backlog import Backlog
 from dalemast.core.dispatch.base import JobRequest, JobResult, OwnerEffects, OwnerPolicy
+from dalemast.core.dispatch.dispatching import Dispatcher
 from dalemast.core.dispatch.exceptions import (
     DeadlinePassed,
     EndpointFailed,
@@ -23,12 +24,11 @@
 )
 from dalemast.core.dispatch.forecasting import ASSUMED_RUN_S, Forecaster
 from dalemast.core.dispatch.jobs import Job
+from dalemast.core.dispatch.linkbook import LinkBook
 from dalemast.core.dispatch.links import Outstanding, WorkerLink
 from dalemast.core.exceptions import DalemastError
 from dalemast.core.placement import (
     AccountHealth,
-    Allotment,
-    BasePlacement,
     WorkerPool,
     get_placement,
 )
@@ -45,9 +45,6 @@
 
 __all__ = ["Owner"]
 
-JOBS_SCANNED_PER_ACCOUNT = 8
-"""How far behind a job that cannot be placed the same account's jobs are looked at."""
-
 OVERDUE_FACTOR = 4.0
 MIN_OVERDUE_S = 0.3
 
@@ -69,16 +66,24 @@
         self._entry = entry
         self._configuration = configuration
         self._policy = policy
-        self._rng = rng
-        self._placement: BasePlacement = get_placement(
-            policy.placement, data_centre=policy.data_centre, queue_limit=policy.queue_limit
-        )
         self._admission: BaseAdmission = get_admission(policy.admission)
         self._pool = WorkerPool()
-        self._links: dict[str, WorkerLink] = {}
+        self._links = LinkBook()
         self._health = AccountHealth()
         self._backlog = Backlog()
         self._forecaster = Forecaster(backlog=self._backlog, health=self._health)
+        self._dispatcher = Dispatcher(
+            backlog=self._backlog,
+            pool=self._pool,
+            links=self._links,
+            health=self._health,
+            placement=get_placement(
+                policy.placement, data_centre=policy.data_centre, queue_limit=policy.queue_limit
+            ),
+            configuration=configuration,
+            rng=rng,
+            on_hopeless=self._end_hopeless,
+        )
         self._retries = RetryBudget(rate_per_s=500.0, now=now)
         self._jobs: dict[int, Job] = {}
         self._deadlines: list[tuple[float, int]] = []
@@ -133,12 +138,7 @@
     def apply_configuration(self) -> None:
         """Take over the configuration that is now in force."""
         self._pool.update(self._configuration.current.endpoints)
-        for view in self._pool.get_views():
-            if view.name not in self._links:
-                self._links[view.name] = WorkerLink(view=view)
-        for name in list(self._links):
-            if self._pool.get(name) is None:
-                del self._links[name]
+        self._links.update(self._pool)
         self._must_dispatch = True
 
     def set_leaving_hosts(self, workers: Iterable[str]) -> None:
@@ -169,7 +169,9 @@
         asked = self._forecaster.make_request(
             account=account,
             request=request,
-            slots=sum(view.slots for view in candidates if view.is_usable),
+            slots=self._pool.get_usable_slots(
+                service=request.service, selectors=selectors, now=now
+            ),
             entries=self._entries,
         )
         self._admission.check(request=asked, entries=self._entries, now=now)
@@ -358,9 +360,7 @@
         self._expire(now)
         self._unpark()
         self._must_dispatch |= self._health.tick(now=now)
-        for link in self._links.values():
-            if not link.view.is_linked:
-                continue
+        for link in self._links.get_watched():
             self._check_overdue(link, now)
             is_old = now - link.unconfirmed_since >= self._policy.confirm_after_s
             if link.is_unconfirmed and (is_old or link.view.is_draining):
@@ -415,21 +415,23 @@
         unresolved = job.get_unresolved()
         if not unresolved:
             return
-        for link in self._links.values():
+        for link in self._links.get_watched():
             if any((job.number, index) in link.outstanding for index in unresolved):
                 link.add_cancel(job.number)
 
+    def _end_hopeless(self, job: Job) -> None:
+        self._fail(job, DeadlinePassed("the deadline is too near to start the job"))
+
     # Dispatch
 
     def collect(self, *, now: float) -> OwnerEffects:
         """Place what has room and return every message that is due."""
         if self._must_dispatch:
             self._must_dispatch = False
-            self._dispatch(now)
+            self._dispatcher.dispatch(now=now, entries=self._entries)
         frames = tuple(
-            (name, frame)
-            for name, link in self._links.items()
-            if link.has_content and link.view.is_linked
+            (link.view.name, frame)
+            for link in self._links.take_due()
             for frame in link.take_frames(
                 now=now,
                 configuration_version=self._configuration.version,
@@ -439,70 +441,3 @@
         results = tuple(self._results)
         self._results.clear()
         return OwnerEffects(frames=frames, results=results)
-
-    def _dispatch(self, now: float) -> None:
-        blocked: set[int] = set()
-        stalled: set[str] = set()
-        while True:
-            account = self._backlog.get_next_account(excluding=stalled)
-            if account is None:
-                return
-            if not self._place_one_job(account, now, blocked):
-                stalled.add(account)
-
-    def _place_one_job(self, account: str, now: float, blocked: set[int]) -> bool:
-        """Place tasks of the first job of an account that has somewhere to go."""
-        allowance = self._get_allowance(account)
-        if allowance <= 0:
-            return False
-        for job in self._backlog.get_head(account, JOBS_SCANNED_PER_ACCOUNT):
-            candidates = self._pool.get_candidates(
-                service=job.request.service, selectors=job.selectors
-            )
-            if id(candidates) in blocked:
-                continue
-            if self._is_hopeless(job, now):
-                self._fail(job, DeadlinePassed("the deadline is too near to start the job"))
-                return True
-            allotments = self._placement.choose(
-                count=min(len(job.waiting), allowance),
-                candidates=candidates,
-                health=self._health.get(account),
-                now=now,
-                rng=self._rng,
-            )
-            if allotments:
-                self._send(job, allotments, now)
-                return True
-            blocked.add(id(candidates))
-        return False
-
-    def _get_allowance(self, account: str) -> int:
-        declared = self._configuration.accounts.get(account)
-        if declared is None:
-            return 1
-        limit = -(-declared.limits.running_tasks // self._entries)
-        return limit - self._backlog.get_usage(account).running
-
-    def _is_hopeless(self, job: Job, now: float) -> bool:
-        """Tell whether a job that has started nothing cannot be done in time any more."""
-        if job.has_started_work:
-            return False
-        health = self._health.get(job.request.account)
-        run = health.get_service(job.request.service).run_times.get(0.25, 0.0)
-        return now + run > job.deadline_at
-
-    def _send(self, job: Job, allotments: list[Allotment], now: float) -> None:
-        usage = self._backlog.get_usage(job.request.account)
-        health = self._health.get(job.request.account)
-        expected = health.get_expected_run_s(job.request.service)
-        for allotment in allotments:
-            link = self._links[allotment.worker.name]
-            indexes = job.take_waiting(allotment.count)
-            for index in indexes:
-                job.move(index, TaskState.SENT)
-                link.add_start(job, index, now)
-            usage.running += len(indexes)
-            health.note_sent(allotment.worker.name, len(indexes))
-            self._backlog.charge(job.request.account, expected * len(indexes))
-            self._backlog.note_taken(job, len(indexes))
--- a/dalemast/core/placement/health.py
+++ b/dalemast/core/placement/health.py
@@ -10,7 +10,6 @@
 
 import bisect
 import enum
-import math
 from collections import deque
 
 __all__ = [
@@ -25,9 +24,12 @@
 SLOW_FACTOR = 4.0
 SLOW_SAMPLES = 3
 SLOW_WINDOW = 5
-"""Of this many last run times the middle one counts, once there are SLOW_SAMPLES."""
+"""SLOW_SAMPLES slow run times among this many last ones eject a worker."""
 
 SAMPLES_TO_JUDGE = 20
+SHORTEST_USUAL_S = 0.005
+"""Below this a run time is mostly the call itself and says nothing of a worker, in seconds."""
+
 MAX_EJECTED_SHARE = 0.34
 FIRST_EJECTION_S = 4.0
 LONGEST_EJECTION_S = 60.0
@@ -93,6 +95,13 @@
         """Whether the service fails so often that no worker can be blamed."""
         return self.failure_share > SERVICE_BROKEN_SHARE
 
+    def is_slow(self, run_s: float) -> bool:
+        """Tell whether a run time is far above the usual, once there is a usual."""
+        if len(self.run_times) < SAMPLES_TO_JUDGE:
+            return False
+        usual = max(self.run_times.get(0.5, run_s), SHORTEST_USUAL_S)
+        return run_s > SLOW_FACTOR * usual
+
     def add(self, *, run_s: float, is_failure: bool) -> None:
         """Take one outcome; the first successes count for more, so that trust is gained quickly."""
         step = FAILURE_STEP if is_failure or not self.is_broken else 5 * FAILURE_STEP
@@ -102,16 +111,36 @@
 
 
 class _Record:
-    __slots__ = ("ejections", "failures", "log_ratios", "out", "standing", "until")
+    """What speaks against a worker. There is none for a worker that has shown nothing bad.
+
+    ``window`` has a bit for each of the last run times, set where it was slow.
+    """
+
+    __slots__ = ("ejections", "failures", "out", "standing", "until", "window")
 
     def __init__(self) -> None:
         self.standing = WorkerStanding.GOOD
         self.failures = 0
-        self.log_ratios: deque[float] = deque(maxlen=SLOW_WINDOW)
+        self.window = 0
         self.ejections = 0
         self.until = 0.0
         self.out = 0
 
+    @property
+    def is_bad(self) -> bool:
+        """Whether the worker is to be ejected."""
+        return self.failures >= FAILURES_TO_EJECT or self.window.bit_count() >= SLOW_SAMPLES
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether nothing speaks against the worker any more."""
+        return (
+            self.standing is WorkerStanding.GOOD
+            and not self.failures
+            and not self.window
+            and not self.ejections
+        )
+
 
 class HealthMonitor:
     """Eject workers by outcome, a bounded share of them, and let them back by one task."""
@@ -119,15 +148,12 @@
     def __init__(self) -> None:
         self._services: dict[str, ServiceObservations] = {}
         self._records: dict[str, _Record] = {}
+        self._distrusted: set[str] = set()
 
     @property
     def ejected(self) -> tuple[str, ...]:
         """The workers that get nothing, or one task on trial."""
-        return tuple(
-            name
-            for name, record in self._records.items()
-            if record.standing is not WorkerStanding.GOOD
-        )
+        return tuple(self._distrusted)
 
     def get_service(self, service: str) -> ServiceObservations:
         """Return what was observed of a service."""
@@ -148,11 +174,14 @@
 
     def note_sent(self, worker: str, count: int) -> None:
         """Note that tasks went to a worker."""
-        self._get_record(worker).out += count
+        if worker in self._distrusted:
+            self._records[worker].out += count
 
     def note_resolved(self, worker: str) -> None:
         """Note that a task came back from a worker, in whatever way."""
-        self._get_record(worker).out -= 1
+        if worker in self._distrusted:
+            record = self._records[worker]
+            record.out = max(0, record.out - 1)
 
     def observe(
         self,
@@ -169,16 +198,17 @@
         Tell whether a task on trial showed the worker to be bad still.
         """
         observations = self.get_service(service)
-        record = self._get_record(worker)
-        self._judge_failures(record, observations, is_failure)
-        if not is_failure:
-            self._judge_speed(record, observations, run_s)
-        if record.standing is WorkerStanding.GOOD or not is_failure:
+        is_slow = not is_failure and observations.is_slow(run_s)
+        is_bad = is_slow or (is_failure and not observations.is_broken)
+        record = self._records.get(worker)
+        if record is None or not is_failure or record.standing is WorkerStanding.GOOD:
             observations.add(run_s=run_s, is_failure=is_failure)
+        if record is None and not is_bad:
+            return False
+        record = self._note(worker, is_slow=is_slow, is_failure=is_failure, is_bad=is_bad)
         if record.standing is WorkerStanding.PROBATION:
-            return self._end_probation(record, is_failure, now)
-        if record.standing is WorkerStanding.GOOD and self._is_bad(record):
-            self._eject(record, now, workers)
+            return self._end_probation(worker, record, is_bad or is_failure, now)
+        self._settle(worker, record, now, workers)
         return False
 
     def postpone(self, *, worker: str, now: float) -> None:
@@ -188,75 +218,58 @@
         """
         record = self._records.get(worker)
         if record is not None and record.standing is not WorkerStanding.GOOD:
-            self._close(record, now)
+            self._close(worker, record, now)
 
     def observe_overdue(
         self, *, worker: str, service: str, running_s: float, now: float, workers: int
     ) -> None:
         """Take a task that has run for so long already that its worker may be a straggler."""
-        record = self._get_record(worker)
-        self._judge_speed(record, self.get_service(service), running_s)
-        if record.standing is WorkerStanding.GOOD and self._is_bad(record):
-            self._eject(record, now, workers)
+        if self.get_service(service).is_slow(running_s):
+            record = self._note(worker, is_slow=True, is_failure=False, is_bad=True)
+            self._settle(worker, record, now, workers)
 
     def tick(self, *, now: float) -> bool:
         """Put workers whose ejection is over on probation; tell whether any was."""
         is_changed = False
-        for record in self._records.values():
+        for name in self._distrusted:
+            record = self._records[name]
             if record.standing is WorkerStanding.EJECTED and now >= record.until:
                 record.standing = WorkerStanding.PROBATION
                 is_changed = True
         return is_changed
 
-    def _get_record(self, worker: str) -> _Record:
-        record = self._records.get(worker)
-        if record is None:
-            record = _Record()
-            self._records[worker] = record
-        return record
-
-    def _judge_failures(
-        self, record: _Record, observations: ServiceObservations, is_failure: bool
-    ) -> None:
+    def _note(self, worker: str, *, is_slow: bool, is_failure: bool, is_bad: bool) -> _Record:
+        record = self._records.setdefault(worker, _Record())
         if not is_failure:
             record.failures = 0
-        elif not observations.is_broken:
+            record.window = (record.window << 1 | is_slow) & ((1 << SLOW_WINDOW) - 1)
+        elif is_bad:
             record.failures += 1
+        return record
 
-    def _judge_speed(
-        self, record: _Record, observations: ServiceObservations, run_s: float
-    ) -> None:
-        if len(observations.run_times) < SAMPLES_TO_JUDGE:
-            return
-        usual = max(observations.run_times.get(0.5, run_s), 0.001)
-        record.log_ratios.append(math.log(max(run_s, 0.001) / usual))
-
-    def _is_bad(self, record: _Record) -> bool:
-        if record.failures >= FAILURES_TO_EJECT:
-            return True
-        if len(record.log_ratios) < SLOW_SAMPLES:
-            return False
-        middle = sorted(record.log_ratios)[len(record.log_ratios) // 2]
-        return middle > math.log(SLOW_FACTOR)
-
-    def _eject(self, record: _Record, now: float, workers: int) -> None:
-        if len(self.ejected) + 1 > MAX_EJECTED_SHARE * workers:
-            return
-        self._close(record, now)
+    def _settle(self, worker: str, record: _Record, now: float, workers: int) -> None:
+        """Eject a worker that is bad, within the bound, and forget one that is not any more."""
+        if record.standing is WorkerStanding.GOOD and record.is_bad:
+            if len(self._distrusted) + 1 <= MAX_EJECTED_SHARE * workers:
+                self._close(worker, record, now)
+        elif record.is_clean:
+            del self._records[worker]
 
-    def _close(self, record: _Record, now: float) -> None:
+    def _close(self, worker: str, record: _Record, now: float) -> None:
+        self._distrusted.add(worker)
         record.standing = WorkerStanding.EJECTED
         record.until = now + min(FIRST_EJECTION_S * 2**record.ejections, LONGEST_EJECTION_S)
         record.ejections += 1
 
-    def _end_probation(self, record: _Record, is_failure: bool, now: float) -> bool:
-        is_slow = bool(record.log_ratios) and record.log_ratios[-1] > math.log(SLOW_FACTOR)
-        if is_failure or is_slow:
-            self._close(record, now)
+    def _end_probation(self, worker: str, record: _Record, is_bad: bool, now: float) -> bool:
+        if is_bad:
+            self._close(worker, record, now)
             return True
+        self._distrusted.discard(worker)
         record.standing = WorkerStanding.GOOD
         record.failures = 0
-        record.log_ratios.clear()
+        record.window = 0
+        record.out = 0
         record.ejections = max(0, record.ejections - 1)
         return False
 
--- a/dalemast/core/placement/workers.py
+++ b/dalemast/core/placement/workers.py
@@ -19,6 +19,9 @@
 AVERAGE_STEP = 0.05
 """Weight of one report in the average of others' load."""
 
+SLOTS_LIFE_S = 0.25
+"""For how long a count of usable slots is good enough for a forecast, in seconds."""
+
 SERVICE_LABEL = "dalemast/service."
 
 
@@ -129,6 +132,7 @@
         self._average = OthersAverage()
         self._index = LabelIndex(items=())
         self._candidates: dict[tuple[str, Selector, Selector], tuple[WorkerView, ...]] = {}
+        self._slots: dict[tuple[str, Selector, Selector], tuple[float, int]] = {}
 
     def __iter__(self) -> Iterable[WorkerView]:
         return iter(self._views.values())
@@ -165,6 +169,7 @@
             items=((name, _get_all_labels(endpoint)) for name, endpoint in declared.items())
         )
         self._candidates.clear()
+        self._slots.clear()
 
     def get_candidates(
         self, *, service: str, selectors: tuple[Selector, Selector]
@@ -184,6 +189,22 @@
             self._candidates[key] = known
         return known
 
+    def get_usable_slots(
+        self, *, service: str, selectors: tuple[Selector, Selector], now: float
+    ) -> int:
+        """Return the slots of the usable candidates, counted anew only now and then.
+
+        The count serves forecasts, and walking over thousands of views for each job would cost
+        more than the job.
+        """
+        key = (service, *selectors)
+        counted_at, slots = self._slots.get(key, (-math.inf, 0))
+        if now - counted_at >= SLOTS_LIFE_S:
+            candidates = self.get_candidates(service=service, selectors=selectors)
+            slots = sum(view.slots for view in candidates if view.is_usable)
+            self._slots[key] = (now, slots)
+        return slots
+
 
 def _get_all_labels(endpoint: Endpoint) -> dict[str, str]:
     labels = dict(endpoint.labels)
