--- a/dalemast/bench/slopes.py
+++ b/dalemast/bench/slopes.py
@@ -52,6 +52,10 @@
 SIZES = (100, 1000, 7700)
 JOB_SIZES = (1, 20, 55, 88)
 JOBS_PER_POINT = 120
+SPREAD_TASKS = 8
+SPREAD_WORKERS = (3, 6, 12, 24)
+"""A third of the workers is near the entry, so a job of 8 tasks goes to 1, 2, 4 and 8 of them."""
+
 REST_S = 8.0
 REST_LINKS = (1, 16, 32, 48)
 TRIES = 5
@@ -325,9 +329,10 @@
         agent.append((float(size), point["agent_ms"]))
         sent.append((float(size), point["sent_bytes"]))
         received.append((float(size), point["received_bytes"]))
-    spread = [(1.0, (await _measure_jobs(8, placement="packing"))["entry_ms"])]
-    spread_point = await _measure_jobs(8, placement="spreading")
-    spread.append((spread_point["frames"], spread_point["entry_ms"]))
+    spread = []
+    for workers in SPREAD_WORKERS:
+        point = await _measure_jobs(SPREAD_TASKS, placement="spreading", workers=workers)
+        spread.append((point["frames"], point["entry_ms"]))
     return [
         fit_slope(name="entry.job", x="tasks", y="milliseconds", points=entry),
         fit_slope(name="agent.job", x="tasks", y="milliseconds", points=agent),
@@ -338,9 +343,11 @@
     ]
 
 
-async def _measure_jobs(size: int, *, placement: str) -> dict[str, float]:
+async def _measure_jobs(size: int, *, placement: str, workers: int = 11) -> dict[str, float]:
     """Send jobs of one size in a closed loop and return the cost a job."""
-    async with Cluster(ClusterShape(entries=1, policy={"placement": placement})) as cluster:
+    async with Cluster(
+        ClusterShape(entries=1, workers=workers, policy={"placement": placement})
+    ) as cluster:
         caller = Caller(addresses=(cluster.caller_addresses[0],), token="card-token")
         body = msgspec.json.encode(
             {
--- a/dalemast/core/gate/gate.py
+++ b/dalemast/core/gate/gate.py
@@ -41,6 +41,8 @@
 SCARCE_SLOTS = 2
 """With fewer free slots than this, an owner hears of each slot that comes free at once."""
 
+WHOLE_FROM_MS = 20.0
+
 EXPECTED_RUN_S = 0.2
 """Slot-seconds charged at a start, put right when the task is done."""
 
@@ -223,8 +225,8 @@
                 index=task.index,
                 value=outcome.value,
                 error=outcome.error,
-                run_ms=round(outcome.run_ms, 1),
-                queued_ms=round((task.started_at - task.queued_at) * 1000.0, 1),
+                run_ms=_round_ms(outcome.run_ms),
+                queued_ms=_round_ms((task.started_at - task.queued_at) * 1000.0),
             )
         )
 
@@ -431,3 +433,8 @@
             yours=owner.active,
             draining=self._is_draining,
         )
+
+
+def _round_ms(value: float) -> float:
+    """Round to what a policy can tell apart, since digits are bytes; whole above 20 ms."""
+    return round(value) if value >= WHOLE_FROM_MS else round(value, 1)
--- a/dalemast/core/wire/frames.py
+++ b/dalemast/core/wire/frames.py
@@ -2,8 +2,8 @@
 
 One frame carries everything that is ready for a connection, since a message costs the same whatever
 it holds. Job numbers are those of the owner; a link belongs to one owner, so they need no prefix.
-Payloads and answers stay raw JSON: neither side has a reason to look into them. What stands once a
-task has one letter on the wire, since an agent may spend 2 KB a second on control.
+Payloads and answers stay raw JSON: neither side has a reason to look into them. Fields have
+one letter on the wire, since an agent may spend 2 KB a second on control.
 """
 
 from __future__ import annotations
@@ -43,7 +43,7 @@
     """The endpoint refused the connection, so it cannot have seen the task."""
 
 
-class TaskKey(Message, frozen=True, kw_only=True):
+class TaskKey(Message, frozen=True, kw_only=True, rename={"job": "j", "index": "i"}):
     """Names a task: the owner's job number and the task's position in the job."""
 
     job: int
@@ -57,7 +57,12 @@
     payload: msgspec.Raw
 
 
-class JobStart(Message, frozen=True, kw_only=True):
+class JobStart(
+    Message,
+    frozen=True,
+    kw_only=True,
+    rename={"job": "j", "service": "s", "account": "a", "deadline_ms": "d", "tasks": "t"},
+):
     """All tasks of one job for one agent. ``deadline_ms`` is what is left, in milliseconds."""
 
     job: int
@@ -83,7 +88,20 @@
     data_centre: str = ""
 
 
-class EntryFrame(Message, frozen=True, kw_only=True):
+class EntryFrame(
+    Message,
+    frozen=True,
+    kw_only=True,
+    rename={
+        "session": "s",
+        "number": "n",
+        "seen": "k",
+        "configuration_version": "c",
+        "starts": "t",
+        "revokes": "r",
+        "cancels": "x",
+    },
+):
     """From an owner to an agent.
 
     ``session`` must be the one that the agent's hello named. ``number`` grows by one a frame over
@@ -99,7 +117,12 @@
     cancels: tuple[int, ...] = ()
 
 
-class Load(Message, frozen=True, kw_only=True):
+class Load(
+    Message,
+    frozen=True,
+    kw_only=True,
+    rename={"running": "r", "queued": "q", "yours": "y", "draining": "d"},
+):
     """How busy an agent is, in tasks. ``yours`` counts those of the owner it is told to."""
 
     running: int = 0
@@ -128,7 +151,9 @@
     queued_ms: float = 0.0
 
 
-class TaskRefusal(Message, frozen=True, kw_only=True):
+class TaskRefusal(
+    Message, frozen=True, kw_only=True, rename={"job": "j", "index": "i", "reason": "r"}
+):
     """An agent's word that a task was not started and will never be."""
 
     job: int
@@ -149,7 +174,12 @@
     load: Load = Load()
 
 
-class AgentFrame(Message, frozen=True, kw_only=True):
+class AgentFrame(
+    Message,
+    frozen=True,
+    kw_only=True,
+    rename={"session": "s", "number": "n", "load": "l", "answers": "a", "refusals": "r"},
+):
     """From an agent to an owner. Frames are kept by the agent until ``seen`` confirms them."""
 
     session: str
