--- a/dalemast/agent/operators.py
+++ b/dalemast/agent/operators.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from dalemast.agent.engine import AgentEngine
-from dalemast.http.base import OperatorsMixin
+from dalemast.http.operators import OperatorsHandler, get_common_routes
 from dalemast.http.server import Route
 from dalemast.observability import Metrics
 from dalemast.settings import AgentSettings
@@ -43,66 +43,40 @@
     running_tasks: tuple[RunningTask, ...]
 
 
-class _AgentHandler(OperatorsMixin):
-    def initialize(
-        self, engine: AgentEngine, settings: AgentSettings, metrics: Metrics, token: str
+class AgentOperators:
+    """The agent as its operators' handlers see it."""
+
+    def __init__(
+        self, *, engine: AgentEngine, settings: AgentSettings, metrics: Metrics, token: str
     ) -> None:
-        self._engine = engine
+        self.engine = engine
+        self.metrics = metrics
+        self.token = token
         self._settings = settings
-        self._metrics = metrics
-        self._token = token
-
-    def prepare(self) -> None:
-        if self.request.path not in ("/v1/health", "/v1/ready"):
-            self.check_operator(self._token)
-
-
-class StateHandler(_AgentHandler):
-    """``GET /v1/state``."""
-
-    def get(self) -> None:
-        """Dump the agent."""
-        self.send_json(get_state(self._engine, self._settings))
-
-
-class MetricsHandler(_AgentHandler):
-    """``GET /v1/metrics``."""
 
-    def get(self) -> None:
-        """Dump the metrics."""
-        self.send_json(self._metrics.dump())
+    def get_status(self) -> str:
+        """Return whether starts are accepted."""
+        return "draining" if self.engine.gate.is_draining else "ready"
 
+    def get_state(self) -> AgentState:
+        """Return the dump."""
+        return get_state(self.engine, self._settings)
 
-class HealthHandler(_AgentHandler):
-    """``GET /v1/health``: the loop turns."""
 
-    def get(self) -> None:
-        """Answer."""
-        self.send_json({"status": "ok"})
-
-
-class ReadyHandler(_AgentHandler):
-    """``GET /v1/ready``: starts are accepted."""
-
-    def get(self) -> None:
-        """Answer 200, or 503 while draining."""
-        is_ready = not self._engine.gate.is_draining
-        status = "ready" if is_ready else "draining"
-        self.send_json({"status": status}, status=200 if is_ready else 503)
-
-
-class DrainHandler(_AgentHandler):
+class DrainHandler(OperatorsHandler):
     """``POST /v1/drain`` takes the endpoint out, ``DELETE /v1/drain`` puts it back."""
 
+    _process: AgentOperators
+
     def post(self) -> None:
         """Refuse new starts from now on; what runs goes on."""
-        self._engine.start_draining()
-        self.send_json(get_state(self._engine, self._settings))
+        self._process.engine.start_draining()
+        self.send_json(self._process.get_state())
 
     def delete(self) -> None:
         """Accept starts again."""
-        self._engine.stop_draining()
-        self.send_json(get_state(self._engine, self._settings))
+        self._process.engine.stop_draining()
+        self.send_json(self._process.get_state())
 
 
 def get_state(engine: AgentEngine, settings: AgentSettings) -> AgentState:
@@ -135,11 +109,5 @@
     *, engine: AgentEngine, settings: AgentSettings, metrics: Metrics, token: str
 ) -> list[Route]:
     """Return the routes of the operators' listener."""
-    arguments = {"engine": engine, "settings": settings, "metrics": metrics, "token": token}
-    return [
-        ("/v1/state", StateHandler, arguments),
-        ("/v1/metrics", MetricsHandler, arguments),
-        ("/v1/health", HealthHandler, arguments),
-        ("/v1/ready", ReadyHandler, arguments),
-        ("/v1/drain", DrainHandler, arguments),
-    ]
+    process = AgentOperators(engine=engine, settings=settings, metrics=metrics, token=token)
+    return [*get_common_routes(process), ("/v1/drain", DrainHandler, {"process": process})]
--- a/dalemast/entry/operators.py
+++ b/dalemast/entry/operators.py
@@ -14,17 +14,17 @@
 from dalemast.entry.configuration import ConfigurationStore
 from dalemast.entry.engine import EntryEngine
 from dalemast.entry.membership import Membership
-from dalemast.http.base import BaseHandler, OperatorsMixin, decode_body
+from dalemast.http.base import BaseHandler, decode_body
 from dalemast.http.client import HttpFailure, JsonClient
 from dalemast.http.exceptions import BadBody, BadToken
+from dalemast.http.operators import OperatorsHandler, get_common_routes
 from dalemast.http.security import SYSTEM_HEADER, SystemProof
 from dalemast.http.server import Route
+from dalemast.observability import Metrics
 from dalemast.settings import EntrySettings
 
 __all__ = ["ChangeBody", "EntryState", "OperatorsContext", "PlatformStatus", "get_operators_routes"]
 
-OPEN_PATHS = frozenset({"/v1/health", "/v1/ready"})
-
 
 class WorkerState(msgspec.Struct, frozen=True, kw_only=True):
     """One worker as this entry sees it."""
@@ -98,7 +98,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OperatorsContext:
-    """What the operators' handlers need of the entry."""
+    """The entry as its operators' handlers see it."""
 
     callers: CallersContext
     engine: EntryEngine
@@ -110,69 +110,41 @@
     scheme: str
     token: str
 
+    @property
+    def metrics(self) -> Metrics:
+        """Counters and latencies."""
+        return self.engine.metrics
 
-class _OperatorsHandler(OperatorsMixin):
-    def initialize(self, context: OperatorsContext) -> None:
-        self._context = context
-        self._engine = context.engine
-
-    def prepare(self) -> None:
-        if self.request.path not in OPEN_PATHS:
-            self.check_operator(self._context.token)
-
-
-class StateHandler(_OperatorsHandler):
-    """``GET /v1/state``."""
-
-    def get(self) -> None:
-        """Dump the entry."""
-        self.send_json(get_state(self._context))
-
-
-class MetricsHandler(_OperatorsHandler):
-    """``GET /v1/metrics``."""
+    def get_status(self) -> str:
+        """Return whether jobs are taken. The balancer asks this."""
+        if self.engine.is_draining:
+            return "draining"
+        return "ready" if self.engine.configuration.is_ready else "unconfigured"
 
-    def get(self) -> None:
-        """Dump the metrics."""
-        self.send_json(self._engine.metrics.dump())
+    def get_state(self) -> EntryState:
+        """Return the dump."""
+        return get_state(self)
 
 
-class HealthHandler(_OperatorsHandler):
-    """``GET /v1/health``: the loop turns."""
-
-    def get(self) -> None:
-        """Answer."""
-        self.send_json({"status": "ok"})
-
-
-class ReadyHandler(_OperatorsHandler):
-    """``GET /v1/ready``: jobs are taken. The balancer asks this."""
-
-    def get(self) -> None:
-        """Answer 200, or 503 while draining or without a configuration."""
-        status = "ready"
-        if self._engine.is_draining:
-            status = "draining"
-        elif not self._engine.configuration.is_ready:
-            status = "unconfigured"
-        self.send_json({"status": status}, status=200 if status == "ready" else 503)
+class _EntryHandler(OperatorsHandler):
+    _process: OperatorsContext
 
 
-class DrainHandler(_OperatorsHandler):
+class DrainHandler(_EntryHandler):
     """``POST /v1/drain``: take no new job; what runs goes on."""
 
     def post(self) -> None:
         """Begin to drain."""
-        self._engine.start_draining()
-        self.send_json(get_state(self._context))
+        self._process.engine.start_draining()
+        self.send_json(self._process.get_state())
 
 
-class ConfigurationHandler(_OperatorsHandler):
+class ConfigurationHandler(_EntryHandler):
     """``GET`` and ``PUT /v1/configuration``."""
 
     async def get(self) -> None:
         """Read the accepted configuration from the table."""
-        self.send_json(await self._context.store.read())
+        self.send_json(await self._process.store.read())
 
     async def put(self) -> None:
         """Accept a change by compare-and-set, and put it in force here at once."""
@@ -182,21 +154,21 @@
                 raise UnknownKind(f"there is no kind {kind!r}", place=f"$.kinds.{kind}")
         if not body.kinds:
             raise BadBody("a change names at least one kind", place="$.kinds")
-        accepted = await self._context.store.replace(
+        accepted = await self._process.store.replace(
             expected_version=body.version, kinds=dict(body.kinds)
         )
-        self._engine.offer_configuration(accepted)
+        self._process.engine.offer_configuration(accepted)
         self.send_json({"version": accepted.version})
 
 
-class KindHandler(_OperatorsHandler):
+class KindHandler(_EntryHandler):
     """``GET /v1/configuration/KIND[/NAME]`` and ``DELETE /v1/configuration/KIND/NAME``."""
 
     async def get(self, kind: str, name: str | None = None) -> None:
         """Read the items of a kind, or one of them."""
         if kind not in KINDS:
             raise UnknownKind(f"there is no kind {kind!r}")
-        items = getattr(await self._context.store.read(), kind)
+        items = getattr(await self._process.store.read(), kind)
         if name is None:
             self.send_json(items)
             return
@@ -208,19 +180,19 @@
 
     async def delete(self, kind: str, name: str | None = None) -> None:
         """Delete an item."""
-        accepted = await self._context.store.delete(kind=kind, name=name or "")
-        self._engine.offer_configuration(accepted)
+        accepted = await self._process.store.delete(kind=kind, name=name or "")
+        self._process.engine.offer_configuration(accepted)
         self.send_json({"version": accepted.version})
 
 
-class StatusHandler(_OperatorsHandler):
+class StatusHandler(_EntryHandler):
     """``GET /v1/status``: every entry and the version it has in force."""
 
     async def get(self) -> None:
         """Ask all peers."""
-        peers = sorted(self._context.membership.get_peers())
+        peers = sorted(self._process.membership.get_peers())
         answers = await asyncio.gather(*(self._ask(peer) for peer in peers))
-        reached = [get_status(self._context)]
+        reached = [get_short_status(self._process)]
         reached += [answer for answer in answers if answer is not None]
         lost = [peer for peer, answer in zip(peers, answers, strict=True) if answer is None]
         self.send_json(
@@ -233,7 +205,7 @@
 
     async def _get_accepted(self) -> int | None:
         try:
-            return await self._context.store.get_version()
+            return await self._process.store.get_version()
         except Exception as error:
             if not hasattr(error, "code"):
                 raise
@@ -241,10 +213,10 @@
 
     async def _ask(self, peer: str) -> EntryStatus | None:
         try:
-            response = await self._context.client.request(
+            response = await self._process.client.request(
                 "GET",
-                f"{self._context.scheme}://{peer}{PEER_PREFIX}/status",
-                headers=self._context.proof.headers,
+                f"{self._process.scheme}://{peer}{PEER_PREFIX}/status",
+                headers=self._process.proof.headers,
                 timeout_s=2.0,
             )
             return response.decode(EntryStatus) if response.status == 200 else None
@@ -276,10 +248,10 @@
 
     def get(self) -> None:
         """Give the short status."""
-        self.send_json(get_status(self._context))
+        self.send_json(get_short_status(self._context))
 
 
-def get_status(context: OperatorsContext) -> EntryStatus:
+def get_short_status(context: OperatorsContext) -> EntryStatus:
     """Return the short status of an entry."""
     engine = context.engine
     return EntryStatus(
@@ -351,14 +323,11 @@
     kind = r"/v1/configuration/([a-z]+)(?:/([A-Za-z0-9._-]{1,63}))?"
     return [
         *get_peer_routes(context.callers),
+        *get_common_routes(context),
         (f"{PEER_PREFIX}/configuration", PeerConfigurationHandler, arguments),
         (f"{PEER_PREFIX}/status", PeerStatusHandler, arguments),
-        ("/v1/state", StateHandler, arguments),
-        ("/v1/metrics", MetricsHandler, arguments),
-        ("/v1/health", HealthHandler, arguments),
-        ("/v1/ready", ReadyHandler, arguments),
-        ("/v1/drain", DrainHandler, arguments),
-        ("/v1/status", StatusHandler, arguments),
-        ("/v1/configuration", ConfigurationHandler, arguments),
-        (kind, KindHandler, arguments),
+        ("/v1/drain", DrainHandler, {"process": context}),
+        ("/v1/status", StatusHandler, {"process": context}),
+        ("/v1/configuration", ConfigurationHandler, {"process": context}),
+        (kind, KindHandler, {"process": context}),
     ]
