--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 BENCH ?= short
 
-.PHONY: setup demo serve test format bench soak binary capacity errors docs
+.PHONY: setup demo serve test format bench soak binary capacity docs
 
 setup: $(VENV)/.installed
 
