Judge a slow run by its siblings and its worker, not by its declared time

Change: an owner moves a run only on evidence of its pace: it stands still, tasks of its step that have ended took far less, or several jobs on its worker crawl.

Ruled out: percents too coarse (a run of 7 s gains one each 70 ms, looks come each 150 ms).

--- a/dalemast/core/scheduling/__init__.py
+++ b/dalemast/core/scheduling/__init__.py
@@ -15,7 +15,7 @@
 from dalemast.core.scheduling.orders import LeastSlackOrder
 from dalemast.core.scheduling.placements import FastestPlacement
 from dalemast.core.scheduling.scheduler import Scheduler, SchedulerLimits
-from dalemast.core.scheduling.workers import RoomReport, WorkerView
+from dalemast.core.scheduling.workers import RoomReport, SlowRun, WorkerView
 
 __all__ = [
     "Action",
@@ -32,6 +32,7 @@
     "RunTimes",
     "Scheduler",
     "SchedulerLimits",
+    "SlowRun",
     "StartTask",
     "StopTask",
     "WorkerView",
--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -59,6 +59,8 @@
         self.runs = 0
         self.workers: dict[str, int] = {}
         self.tasks: dict[TaskKey, Task] = {}
+        self.run_times: dict[int, list[float]] = {}
+        """By step, the run times of tasks that ended well, as on a worker of usual speed."""
         self._left: list[int] = []
         for number, step in enumerate(request.steps):
             self._left.append(step.count)
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -24,7 +24,7 @@
 from dalemast.core.scheduling.base import BaseOrder, BasePlacement
 from dalemast.core.scheduling.estimates import RunTimes
 from dalemast.core.scheduling.jobs import ON_WORKER, Job, Task, TaskPhase
-from dalemast.core.scheduling.workers import RoomReport, WorkerView
+from dalemast.core.scheduling.workers import RoomReport, SlowRun, WorkerView
 from dalemast.core.workloads import JobRequest, Resources, StepRequest, TaskKey
 
 __all__ = ["Scheduler", "SchedulerLimits"]
@@ -39,6 +39,13 @@
 1.5 s and agents find a new owner within about a second."""
 STOP_COST_S = 0.06
 """What moving a task costs beside running it again: a stop of up to 50 ms and two messages."""
+SLOW_PACE = 2.2
+"""From which pace a run counts as slow: workers differ by 1.25, tasks of a step by 15 %, and racks
+without the data by 1.5, so a sound run stays below."""
+PACE_WEIGHT = 0.4
+"""How much one report of a slow run says of its worker: after three it is avoided."""
+MIN_SIBLINGS = 2
+"""Ended tasks of a step that are enough to judge the others by."""
 MOVE_GAIN = 1.3
 """How much longer the rest of a slow run must be than a new run elsewhere before it is moved."""
 
@@ -165,7 +172,7 @@
         return self.dispatch(now=now)
 
     def report_slow(
-        self, name: str, job_id: str, key: TaskKey, run: int, remaining_s: float, *, now: float
+        self, name: str, job_id: str, key: TaskKey, run: int, report: SlowRun, *, now: float
     ) -> list[Action]:
         """Move a run that crawls or stands still if a new one elsewhere would end sooner."""
         job = self._jobs.get(job_id)
@@ -175,18 +182,33 @@
             return []
         if task.run != run or task.phase is not TaskPhase.PLACED:
             return []
-        total_s = now - task.placed_at + remaining_s
-        view.learn_slowness(total_s / max(task.expected_s, 0.001))
+        pace = self._judge_pace(job, task, report)
+        if pace < SLOW_PACE:
+            return []
+        view.learn_slowness(pace, weight=PACE_WEIGHT)
         elsewhere = self._choose(job, task)
         if elsewhere is None or elsewhere.name == name:
             return []
-        new_run_s = task.expected_s * elsewhere.slowness + STOP_COST_S
-        if remaining_s < MOVE_GAIN * new_run_s:
+        new_run_s = report.total_s / pace * elsewhere.slowness + STOP_COST_S
+        if report.total_s - report.age_s < MOVE_GAIN * new_run_s:
             return []
         task.phase = TaskPhase.STOPPING
         task.avoided.add(name)
         return [StopTask(worker=name, job_id=job_id, task=key, run=run)]
 
+    def _judge_pace(self, job: Job, task: Task, report: SlowRun) -> float:
+        """Return how many times as long as elsewhere the run takes, by the best evidence.
+
+        A declared time says little of one run, since it may simply be a long one. Tasks of the same
+        step that have ended say much: they differ by about 15 %.
+        """
+        if report.is_stalled:
+            return max(report.total_s / max(task.expected_s, 0.001), SLOW_PACE)
+        ended = job.run_times.get(task.key.step, ())
+        if len(ended) >= MIN_SIBLINGS:
+            return report.total_s / max(sum(ended) / len(ended), 0.001)
+        return report.worker_pace
+
     def tick(self, *, now: float) -> list[Action]:
         """Free lost runs whose time is over, refuse what waited too long, place the rest."""
         for job in self._jobs.values():
@@ -266,6 +288,7 @@
             declared_s=task.step.estimate_s,
             actual_s=run_s / slowness,
         )
+        job.run_times.setdefault(task.key.step, []).append(run_s / slowness)
         job.set_done(task)
         if job.is_done:
             return [self._finish(job, JobState.SUCCEEDED, "", now), *self.dispatch(now=now)]
--- a/dalemast/core/scheduling/workers.py
+++ b/dalemast/core/scheduling/workers.py
@@ -6,7 +6,7 @@
 
 from dalemast.core.workloads import Resources
 
-__all__ = ["RoomReport", "WorkerView"]
+__all__ = ["RoomReport", "SlowRun", "WorkerView"]
 
 SPEED_LEARNING_RATE = 0.1
 """Weight of the newest task in a worker's slowness: about the last ten tasks count."""
@@ -27,6 +27,20 @@
     is_accepting: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlowRun:
+    """An agent's word on a run that crawls or stands still. Times are seconds.
+
+    ``total_s`` is its whole run time at its pace so far; ``worker_pace`` is the mean over the jobs
+    on the worker of such times over the expected ones, or 0 if there are too few.
+    """
+
+    age_s: float
+    total_s: float
+    worker_pace: float
+    is_stalled: bool
+
+
 class WorkerView:
     """One life of a worker, seen from one owner."""
 
--- a/dalemast/core/supervision/actions.py
+++ b/dalemast/core/supervision/actions.py
@@ -36,11 +36,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReportSlow:
-    """Tell an owner that a run crawls; ``remaining_s`` is what it needs at its pace."""
+    """Tell an owner that a run crawls or stands still.
+
+    ``total_s`` is its whole run time at its pace so far. ``worker_pace`` is the mean, over several
+    jobs on this worker, of such times over the expected ones; 0 if there are too few.
+    """
 
     owner: str
     run_id: RunId
-    remaining_s: float
+    age_s: float
+    total_s: float
+    worker_pace: float
+    is_stalled: bool
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -36,9 +36,15 @@
 STALL_AFTER_S = 0.35
 """How long a run may show no progress before it is reported. Progress comes in whole percent, and
 the shortest tasks take about 60 ms, the longest several seconds."""
-SLOW_FACTOR = 2.0
+SLOW_FACTOR = 1.8
 """How much longer than expected a run must be heading for before it is reported. Expected times
-are off by up to about 40 %, and workers differ by 1.25."""
+are off by about 40 %, and workers differ by 1.25. The owner judges what to do."""
+MIN_AGE_S = 0.12
+"""Progress says little before: looks are 0.15 s apart at the most, percents are whole."""
+MIN_JOBS_FOR_PACE = 3
+"""Jobs whose declared times are off by 40 % each give a mean that is off by about 25 %."""
+STALL_PERCENTS = 4
+"""Percents that a run would have gained meanwhile at its pace before, if it stands still."""
 SLOW_REPEAT_S = 0.3
 """Pause between two reports on one run."""
 GONE_AFTER_S = 0.25
@@ -278,26 +284,40 @@
         return []
 
     def _judge_pace(self, run: Run, now: float) -> list[Action]:
-        if now - run.reported_at < SLOW_REPEAT_S:
-            return []
         age_s = now - run.started_at
-        stalled = now - run.progressed_at > STALL_AFTER_S
-        expected_s = run.request.expected_s
-        if stalled or (age_s > expected_s and run.percent == 0):
-            remaining_s = max(expected_s, age_s) * 10
-        elif run.percent > 0:
-            remaining_s = age_s * (100 - run.percent) / run.percent
-        else:
+        if now - run.reported_at < SLOW_REPEAT_S or age_s < MIN_AGE_S:
             return []
-        if not stalled and age_s + remaining_s < SLOW_FACTOR * expected_s:
+        expected_s = run.request.expected_s
+        is_stalled = now - run.progressed_at > _get_stall_limit_s(run)
+        total_s = _get_total_s(run, now)
+        if not is_stalled and total_s < SLOW_FACTOR * expected_s:
             return []
         run.reported_at = now
-        if stalled:
+        if is_stalled:
             self._health.note_failed(run.request.run_id.job_id, now=now)
         return [
-            ReportSlow(owner=run.request.owner, run_id=run.request.run_id, remaining_s=remaining_s)
+            ReportSlow(
+                owner=run.request.owner,
+                run_id=run.request.run_id,
+                age_s=age_s,
+                total_s=total_s,
+                worker_pace=self._get_worker_pace(now),
+                is_stalled=is_stalled,
+            )
         ]
 
+    def _get_worker_pace(self, now: float) -> float:
+        """Return the mean pace over the jobs that run here, or 0 if they are too few to tell."""
+        paces: dict[str, float] = {}
+        for run in self._runs.values():
+            if run.percent > 0 and now - run.started_at >= MIN_AGE_S:
+                pace = _get_total_s(run, now) / max(run.request.expected_s, 0.001)
+                job_id = run.request.run_id.job_id
+                paces[job_id] = min(pace, paces.get(job_id, pace))
+        if len(paces) < MIN_JOBS_FOR_PACE:
+            return 0.0
+        return sum(paces.values()) / len(paces)
+
     def _see_missing(self, run: Run, asked_at: float, now: float) -> list[Action]:
         if run.expires_at is not None:
             return self._end(run, EndReason.STOPPED, now) if asked_at > run.expires_at else []
@@ -333,3 +353,14 @@
 
     def _refuse(self, request: StartRequest, reason: EndReason) -> ReportEnd:
         return ReportEnd(owner=request.owner, run_id=request.run_id, reason=reason, run_s=0.0)
+
+
+def _get_total_s(run: Run, now: float) -> float:
+    """Return a run's whole time at its pace so far; without progress, at half a percent."""
+    age_s = now - run.started_at
+    return age_s * 100 / max(run.percent, 0.5)
+
+
+def _get_stall_limit_s(run: Run) -> float:
+    percent_s = (run.progressed_at - run.started_at) / run.percent if run.percent else 0.0
+    return max(STALL_AFTER_S, STALL_PERCENTS * percent_s)
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -150,9 +150,17 @@
     def report_slow(self, report: ReportSlow) -> None:
         """Tell an owner that a run crawls."""
         session = self._sessions.get(report.owner)
-        if session is not None:
-            remaining_s = round(report.remaining_s, 3)
-            session.link.send(RunSlow(run=_make_row(report.run_id), remaining_s=remaining_s))
+        if session is None:
+            return
+        session.link.send(
+            RunSlow(
+                run=_make_row(report.run_id),
+                age_s=round(report.age_s, 3),
+                total_s=round(report.total_s, 3),
+                worker_pace=round(report.worker_pace, 2),
+                is_stalled=report.is_stalled,
+            )
+        )
 
     def mark_room(self) -> None:
         """Note that the room has changed; each entry is told when its pause is over."""
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -10,6 +10,7 @@
     EndReason,
     RoomReport,
     Scheduler,
+    SlowRun,
     StartTask,
     StopTask,
     WorkerView,
@@ -260,23 +261,29 @@
 
     def _report_slow(self, session: AgentSession, news: RunSlow) -> None:
         row = news.run
-        actions = self._scheduler.report_slow(
-            session.worker,
-            row.job,
-            TaskKey(row.step, row.position),
-            row.run,
-            news.remaining_s,
-            now=time.monotonic(),
+        report = SlowRun(
+            age_s=news.age_s,
+            total_s=news.total_s,
+            worker_pace=news.worker_pace,
+            is_stalled=news.is_stalled,
         )
-        log_event(
-            "run:slow",
-            job=row.job,
-            step=row.step,
-            position=row.position,
-            worker=session.worker,
-            remaining_s=round(news.remaining_s, 2),
-            moves=bool(actions),
+        key = TaskKey(row.step, row.position)
+        now = time.monotonic()
+        actions = self._scheduler.report_slow(
+            session.worker, row.job, key, row.run, report, now=now
         )
+        if actions:
+            log_event(
+                "run:moved",
+                job=row.job,
+                step=row.step,
+                position=row.position,
+                worker=session.worker,
+                age_s=news.age_s,
+                total_s=news.total_s,
+                worker_pace=news.worker_pace,
+                is_stalled=news.is_stalled,
+            )
         self._apply(actions)
 
 
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -152,10 +152,13 @@
 
 
 class RunSlow(Message, frozen=True, tag="S"):
-    """A run crawls or stands still and needs ``remaining_s`` more at its pace."""
+    """A run crawls or stands still, as in :class:`dalemast.core.supervision.ReportSlow`."""
 
     run: RunRow
-    remaining_s: float
+    age_s: float
+    total_s: float
+    worker_pace: float
+    is_stalled: bool
 
 
 class PeerHello(Message, frozen=True, tag="P"):
