--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -236,6 +236,9 @@
             actions += self._see_running(row, now)
         self._strays &= listed
         self._has_looked = True
+        for run in self._runs.values():
+            if run.phase is RunPhase.RUNNING:
+                actions += self._judge_pace(run, now)
         for run in list(self._runs.values()):
             if run.request.run_id not in listed:
                 actions += self._see_missing(run, asked_at, now)
@@ -279,8 +282,6 @@
         if row.percent > run.percent:
             run.percent = row.percent
             run.progressed_at = now
-        if run.phase is RunPhase.RUNNING:
-            return self._judge_pace(run, now)
         return []
 
     def _judge_pace(self, run: Run, now: float) -> list[Action]:
--- /dev/null
+++ b/dalemast/emulator/worker.py
@@ -0,0 +1,231 @@
+"""An emulated worker over HTTP, with the faults that the users' pages name."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from dalemast.emulator.runs import EmulatedRuns, Order
+from dalemast.http.client import HttpFailure, JsonClient
+from dalemast.platform.wire import (
+    EXPECTED_LIFE_HEADER,
+    CapacityBody,
+    ClockAnswer,
+    Heartbeat,
+    HoldAnswer,
+)
+from dalemast.platform.worker import LOOK_PATH, START_PATH, STOP_PATH
+
+__all__ = ["EmulatedWorker", "WorkerFaults"]
+
+
+DEFAULT_RUN_S = 0.1
+LOOK_GRAIN_S = 0.005
+LATE_ORDER_S = (0.5, 2.0)
+"""How much later than sent an order without an answer is carried out."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerFaults:
+    """Shares of orders or runs that go wrong. ``slow`` multiplies run times."""
+
+    fail: float = 0.0
+    stand_still: float = 0.0
+    late_orders: float = 0.0
+    slow: float = 1.0
+
+
+class CallHandler(RequestHandler):
+    """One call of the agent."""
+
+    def initialize(self, worker: EmulatedWorker, serve: Callable[..., Any]) -> None:
+        """Take what the routes give."""
+        self._worker = worker
+        self._serve = serve
+
+    async def post(self) -> None:
+        """Serve the call unless it is meant for another life."""
+        expected = self.request.headers.get(EXPECTED_LIFE_HEADER)
+        if expected not in (None, self._worker.life_id):
+            self.set_status(421)
+            self.finish(b"{}")
+            return
+        status, body = await self._serve(msgspec.json.decode(self.request.body))
+        self.set_status(status)
+        self.finish(msgspec.json.encode(body))
+
+
+class EmulatedWorker:
+    """One worker. A task's text is ``{"run_s": ...}`` or anything else for the default."""
+
+    def __init__(self, *, address: str, report_to: str, service: str, zone: str, cpu: int) -> None:
+        self._report_to = report_to
+        self._service = service
+        self._zone = zone
+        self._cpu = cpu
+        self._address = address
+        self._lives = 0
+        self._life_id = ""
+        self._beats = 0
+        self._runs = EmulatedRuns()
+        self._faults = WorkerFaults()
+        self._random = random.Random(7)
+        self._client = JsonClient()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: HTTPServer | None = None
+        self.state = "ready"
+        self.started: list[tuple[str, int]] = []
+        """Every run that was started, in order: task and run."""
+
+    @property
+    def life_id(self) -> str:
+        """The id of the present life."""
+        return self._life_id
+
+    @property
+    def active_tasks(self) -> set[str]:
+        """The tasks that run now."""
+        self._runs.advance(self._now())
+        return set(self._runs.active)
+
+    def set_faults(self, **faults: float) -> None:
+        """Change the faults."""
+        self._faults = replace(self._faults, **faults)
+
+    def start(self) -> None:
+        """Begin a life: listen and report."""
+        self._lives += 1
+        self._life_id = f"i-{self._service}-{id(self) % 10_000}-{self._lives}"
+        self._runs = EmulatedRuns()
+        routes = [
+            (START_PATH, CallHandler, {"worker": self, "serve": self._start_run}),
+            (STOP_PATH, CallHandler, {"worker": self, "serve": self._stop_run}),
+            (LOOK_PATH, CallHandler, {"worker": self, "serve": self._hold}),
+        ]
+        self._server = HTTPServer(Application(routes, log_function=lambda handler: None))
+        host, _, port = self._address.rpartition(":")
+        sockets = bind_sockets(int(port), host)
+        self._address = f"{host}:{sockets[0].getsockname()[1]}"
+        self._server.add_sockets(sockets)
+        self._spawn(self._beat_forever())
+
+    async def crash(self) -> None:
+        """End the life at once, with everything that runs."""
+        self._runs = EmulatedRuns()
+        for task in self._tasks:
+            task.cancel()
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    @property
+    def address(self) -> str:
+        """Where it takes calls."""
+        return self._address
+
+    def _now(self) -> float:
+        """Return the worker's own clock, which counts from elsewhere than the agent's."""
+        return time.monotonic() + 1000.0
+
+    async def _beat_forever(self) -> None:
+        while True:
+            await self._beat()
+            await asyncio.sleep(0.3)
+
+    async def _beat(self) -> None:
+        self._beats += 1
+        body = Heartbeat(
+            service=self._service,
+            zone=self._zone,
+            state=self.state,
+            seq=self._beats,
+            capacity=CapacityBody(cpu=self._cpu, memory_mb=65536),
+            labels=("a", "r1"),
+            clock_ms=round(self._now() * 1000),
+        )
+        url = f"http://{self._report_to}/v1/Instances.Heartbeat/{self._life_id}"
+        try:
+            await self._client.request("POST", url, body=body, timeout_s=1.0)
+        except HttpFailure:
+            # The agent may be down or restarting; the next report tells it all anew.
+            return
+
+    async def _start_run(self, call: dict[str, Any]) -> tuple[int, ClockAnswer]:
+        if self._random.random() < self._faults.late_orders:
+            self._spawn(self._start_late(call))
+            await asyncio.sleep(5.0)
+        return self._carry_out(call)
+
+    async def _start_late(self, call: dict[str, Any]) -> None:
+        await asyncio.sleep(self._random.uniform(*LATE_ORDER_S))
+        self._carry_out(call)
+
+    def _carry_out(self, call: dict[str, Any]) -> tuple[int, ClockAnswer]:
+        order = Order(
+            task=call["task"],
+            run=call["run"],
+            until_s=call["until_ms"] / 1000,
+            fence=call["fence"],
+            run_s=_read_run_s(call["spec"]) * self._faults.slow,
+            fails=self._random.random() < self._faults.fail,
+            stands_still=self._random.random() < self._faults.stand_still,
+        )
+        now = self._now()
+        was_active = order.task in self._runs.active
+        reason = self._runs.start(order, now=now)
+        if not reason and not was_active:
+            self.started.append((order.task, order.run))
+        return (409 if reason else 200), self._make_answer(reason)
+
+    async def _stop_run(self, call: dict[str, Any]) -> tuple[int, ClockAnswer]:
+        now = self._now()
+        reason = self._runs.stop(call["task"], call["run"], call["fence"], now=now)
+        return (409 if reason else 200), self._make_answer(reason)
+
+    async def _hold(self, call: dict[str, Any]) -> tuple[int, ClockAnswer | HoldAnswer]:
+        until_ms = call.get("until_ms")
+        reason = self._runs.hold(
+            fence=call["fence"],
+            ends_seen=call.get("acked_upto", 0),
+            until_s=None if until_ms is None else until_ms / 1000,
+            now=self._now(),
+        )
+        if reason:
+            return 409, self._make_answer(reason)
+        answer_by = self._now() + call.get("wait_ms", 0) / 1000
+        while self._now() < answer_by and not self._runs.get_ended():
+            await asyncio.sleep(LOOK_GRAIN_S)
+            self._runs.advance(self._now())
+        now = self._now()
+        return 200, HoldAnswer(
+            clock_ms=round(now * 1000),
+            running=tuple(
+                (task, run.order.run, "", run.get_percent(now))
+                for task, run in self._runs.active.items()
+            ),
+            ended=tuple((*end, "") for end in self._runs.get_ended()),
+        )
+
+    def _make_answer(self, reason: str) -> ClockAnswer:
+        return ClockAnswer(clock_ms=round(self._now() * 1000), reason=reason)
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _read_run_s(text: str) -> float:
+    try:
+        return float(msgspec.json.decode(text)["run_s"])
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+        return DEFAULT_RUN_S
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -206,7 +206,7 @@
         session.member = to_member(hello.member)
         self._sessions[session.owner] = session
         self._supervisor.hear(session.owner, now=time.monotonic())
-        self._book.learn([session.member, *(to_member(row) for row in hello.others)])
+        self._book.learn([session.member])
         runs = tuple(_make_row(r) for r in self._supervisor.get_owner_runs(session.owner))
         session.link.send(
             AgentHello(
--- a/dalemast/fleet/book.py
+++ b/dalemast/fleet/book.py
@@ -38,15 +38,16 @@
             self._add(address, None)
 
     def learn(self, members: Iterable[Member]) -> list[Member]:
-        """Take in entries; return those that were news."""
+        """Take in entries; return those at addresses that were not known.
+
+        Which life of an entry answers at an address is told by its own hello alone: hearsay may be
+        out of date, and passing that on as news would go round without end.
+        """
         news = []
         for member in members:
-            if member.address == self._own_address:
-                continue
-            known = self._members.get(member.address)
-            if known is not None and known.incarnation == member.incarnation:
-                continue
-            news.append(member)
+            is_known = self._members.get(member.address) is not None
+            if not is_known and member.address != self._own_address:
+                news.append(member)
             self._add(member.address, member)
         return news
 
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -51,6 +51,8 @@
         self._owner = owner
         self.hello: AgentHello | None = None
         self.worker = ""
+        self.runs: tuple[RunRow, ...] = ()
+        """What the agent listed in its hello, until it is compared."""
         self.is_ending = False
         self.active_since: float | None = None
         """Since when the link has carried runs."""
@@ -102,8 +104,7 @@
 
     def accept(self, link: Link) -> AgentSession:
         """Greet an agent that opened a link."""
-        others = tuple(to_row(member) for member in self._book.members)
-        link.send(EntryHello(member=to_row(self._member), others=others))
+        link.send(EntryHello(member=to_row(self._member)))
         return AgentSession(link=link, owner=self)
 
     def tell_members(self, members: Iterable[Member]) -> None:
@@ -191,15 +192,18 @@
         if before is not None and before is not session:
             self.end_session(before, "replaced")
         session.hello = hello
+        session.runs = hello.runs
         self._sessions[hello.name] = session
+        session.link.send(MemberNews(members=tuple(to_row(m) for m in self._book.members)))
         log_event("agent:link", agent=hello.name, runs=len(hello.runs))
 
     def _meet_worker(self, session: AgentSession, news: WorkerNews) -> None:
         hello = session.hello
         if hello is None:
             return
-        if news.id != session.worker:
-            self._drop_worker(session)
+        if news.id == session.worker:
+            return
+        self._drop_worker(session)
         if not news.id:
             return
         view = WorkerView(
@@ -212,7 +216,8 @@
         session.worker = news.id
         self._by_worker[news.id] = session
         self._scheduler.add_worker(view)
-        listed = [(row.job, TaskKey(row.step, row.position), row.run) for row in hello.runs]
+        listed = [(row.job, TaskKey(row.step, row.position), row.run) for row in session.runs]
+        session.runs = ()
         log_event("worker:in-reach", worker=news.id, agent=hello.name, cpu=news.cpu)
         self._apply(self._scheduler.reconcile(news.id, listed, now=time.monotonic()))
 
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -105,9 +105,10 @@
         self._open[request.id] = job
         refusal = await self._claim(job)
         if refusal is not None:
-            self._open.pop(request.id, None)
+            if self._open.get(request.id) is job:
+                del self._open[request.id]
             job.resolve(refusal)
-            return refusal
+            return await job.answer
         if self._open.get(request.id) is not job:
             self._release(request.id)
             return await job.answer
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -236,7 +236,6 @@
         link.send(
             PeerHello(
                 member=to_row(self._member),
-                others=tuple(to_row(member) for member in self._book.members),
                 jobs=tuple(self._jobs.get_open_ids()) if is_dialled else (),
             )
         )
@@ -248,7 +247,8 @@
     def _greet(self, session: PeerSession, hello: PeerHello) -> None:
         member = to_member(hello.member)
         session.member = member
-        self.learn([member, *(to_member(row) for row in hello.others)])
+        self.learn([member])
+        session.link.send(MemberNews(members=tuple(to_row(m) for m in self._book.members)))
         if session.is_dialled:
             self._dialled[member.name] = session
             log_event("peer:link", peer=member.name, peers=len(self._dialled))
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -70,10 +70,9 @@
 
 
 class EntryHello(Message, frozen=True, tag="h"):
-    """An entry's first message to an agent, and which other entries it knows."""
+    """An entry's first message to an agent."""
 
     member: MemberRow
-    others: tuple[MemberRow, ...]
 
 
 class MemberNews(Message, frozen=True, tag="m"):
@@ -165,7 +164,6 @@
     """An entry's first message to another, with the claims whose home the other may be."""
 
     member: MemberRow
-    others: tuple[MemberRow, ...]
     jobs: tuple[str, ...]
 
 
--- /dev/null
+++ b/tests/core/ownership/test_claims.py
@@ -0,0 +1,61 @@
+"""Claims: one owner at a time, and when another may follow."""
+
+from __future__ import annotations
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dalemast.core.ownership import Claims, Granted, Held, choose_home
+
+LAPSE_S = 1.2
+
+
+class ClaimsTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.claims = Claims(lapse_s=LAPSE_S)
+
+    def test_the_second_owner_is_told_of_the_first(self) -> None:
+        self.assertEqual(Granted(), self.claims.claim("a", "o1", now=0.0))
+        self.assertEqual(Held(owner="o1", free_at=None), self.claims.claim("a", "o2", now=0.0))
+
+    def test_an_owner_may_claim_again(self) -> None:
+        self.claims.claim("a", "o1", now=0.0)
+        self.assertEqual(Granted(), self.claims.claim("a", "o1", now=5.0))
+
+    def test_a_release_by_another_changes_nothing(self) -> None:
+        self.claims.claim("a", "o1", now=0.0)
+        self.claims.release("a", "o2")
+        self.assertIsInstance(self.claims.claim("a", "o2", now=0.0), Held)
+        self.claims.release("a", "o1")
+        self.assertEqual(Granted(), self.claims.claim("a", "o2", now=0.0))
+
+    def test_the_claim_of_a_lost_owner_lapses_when_its_runs_have_ended(self) -> None:
+        self.claims.claim("a", "o1", now=0.0)
+        self.claims.note_lost("o1", now=1.0)
+        self.assertEqual(
+            Held(owner="o1", free_at=1.0 + LAPSE_S), self.claims.claim("a", "o2", now=1.1)
+        )
+        self.assertEqual(Granted(), self.claims.claim("a", "o2", now=1.0 + LAPSE_S))
+
+    def test_an_owner_that_is_back_keeps_its_claim(self) -> None:
+        self.claims.claim("a", "o1", now=0.0)
+        self.claims.note_lost("o1", now=1.0)
+        self.claims.note_back("o1")
+        self.claims.sweep(now=9.0)
+        self.assertIsInstance(self.claims.claim("a", "o2", now=9.0), Held)
+
+    def test_claims_of_owners_that_are_gone_are_forgotten(self) -> None:
+        self.claims.claim("a", "o1", now=0.0)
+        self.claims.note_lost("o1", now=1.0)
+        self.claims.sweep(now=3.0)
+        self.assertEqual(0, len(self.claims))
+
+
+class RendezvousTests(testtools.TestCase):
+    @given(st.text(min_size=1), st.sets(st.text(min_size=1), min_size=2, max_size=8))
+    def test_losing_another_entry_moves_no_home(self, job_id: str, entries: set[str]) -> None:
+        home = choose_home(job_id, entries)
+        for other in entries - {home}:
+            self.assertEqual(home, choose_home(job_id, entries - {other}))
--- /dev/null
+++ b/tests/core/scheduling/base.py
@@ -0,0 +1,99 @@
+"""What the tests of the scheduler share."""
+
+from __future__ import annotations
+
+import testtools
+
+from dalemast.core.scheduling import (
+    Action,
+    EndReason,
+    FastestPlacement,
+    JobFinished,
+    JobRefused,
+    LeastSlackOrder,
+    RoomReport,
+    Scheduler,
+    SchedulerLimits,
+    StartTask,
+    StopTask,
+    WorkerView,
+)
+from dalemast.core.workloads import JobRequest, Queue, Resources, StepRequest
+
+LOST_RUN_S = 1.2
+CORE = Resources(cpu=1000, memory_mb=64)
+
+
+def make_queue(**fields: object) -> Queue:
+    values = {"name": "draws", "host": "h", "prefix": "/p/", "service": "floor", "attempts": 2}
+    return Queue(**{**values, "stretch": 1.6, "slack_s": 0.06, **fields})
+
+
+def make_step(count: int = 1, **fields: object) -> StepRequest:
+    return StepRequest(**{"count": count, "resources": CORE, "estimate_s": 0.1, **fields})
+
+
+def make_job(job_id: str, *steps: StepRequest, queue: Queue | None = None) -> JobRequest:
+    return JobRequest(
+        id=job_id,
+        queue=queue or make_queue(),
+        payload="text",
+        steps=steps or (make_step(),),
+        patience_s=1.5,
+    )
+
+
+class SchedulerTestCase(testtools.TestCase):
+    """A scheduler with workers that are told of by hand."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.scheduler = Scheduler(
+            order=LeastSlackOrder(),
+            placement=FastestPlacement(remote_factor=1.5),
+            limits=SchedulerLimits(lost_run_s=LOST_RUN_S),
+            started_at=0.0,
+        )
+
+    def add_worker(
+        self,
+        name: str,
+        *,
+        cpu: int = 4000,
+        labels: tuple[str, ...] = (),
+        service: str = "floor",
+        is_near: bool = True,
+    ) -> list[Action]:
+        capacity = Resources(cpu=cpu, memory_mb=65536)
+        self.scheduler.add_worker(
+            WorkerView(
+                name=name,
+                service=service,
+                capacity=capacity,
+                labels=frozenset(labels),
+                is_near=is_near,
+            )
+        )
+        report = RoomReport(seen=0, free=capacity, is_accepting=True)
+        return self.scheduler.update_worker(name, report, now=10.0)
+
+    def end(self, start: StartTask, reason: EndReason, now: float = 10.1) -> list[Action]:
+        return self.scheduler.end_run(
+            start.worker, start.job.id, start.task, start.run, reason, run_s=0.1, now=now
+        )
+
+
+def get_starts(actions: list[Action]) -> list[StartTask]:
+    return [action for action in actions if isinstance(action, StartTask)]
+
+
+def get_stops(actions: list[Action]) -> list[StopTask]:
+    return [action for action in actions if isinstance(action, StopTask)]
+
+
+def get_finished(actions: list[Action]) -> list[JobFinished]:
+    return [action for action in actions if isinstance(action, JobFinished)]
+
+
+def get_refused(actions: list[Action]) -> list[JobRefused]:
+    return [action for action in actions if isinstance(action, JobRefused)]
--- /dev/null
+++ b/tests/core/scheduling/test_scheduler.py
@@ -0,0 +1,252 @@
+"""The owner's decisions: starts, ends, retries, refusals, and runs out of reach."""
+
+from __future__ import annotations
+
+from dalemast.core.scheduling import EndReason, JobState, RefusalCause, RoomReport, SlowRun
+from dalemast.core.workloads import Resources, TaskKey
+from tests.core.scheduling.base import (
+    LOST_RUN_S,
+    SchedulerTestCase,
+    get_finished,
+    get_refused,
+    get_starts,
+    get_stops,
+    make_job,
+    make_queue,
+    make_step,
+)
+
+
+class StartTests(SchedulerTestCase):
+    def test_all_tasks_start_while_there_is_room(self) -> None:
+        self.add_worker("w1")
+        starts = get_starts(self.scheduler.submit(make_job("a", make_step(4)), now=10.0))
+        self.assertEqual([TaskKey(0, n) for n in range(4)], [start.task for start in starts])
+        self.assertEqual({1}, {start.run for start in starts})
+
+    def test_room_is_counted_before_the_agent_confirms(self) -> None:
+        self.add_worker("w1", cpu=3000)
+        starts = get_starts(self.scheduler.submit(make_job("a", make_step(5)), now=10.0))
+        self.assertEqual(3, len(starts))
+
+    def test_a_report_that_has_not_seen_a_start_does_not_free_its_room(self) -> None:
+        self.add_worker("w1", cpu=2000)
+        self.scheduler.submit(make_job("a", make_step(3)), now=10.0)
+        report = RoomReport(seen=1, free=Resources(cpu=1000, memory_mb=1000), is_accepting=True)
+        self.assertEqual([], get_starts(self.scheduler.update_worker("w1", report, now=10.0)))
+
+    def test_a_worker_of_another_service_is_not_used(self) -> None:
+        self.add_worker("w1", service="other")
+        self.assertEqual([], get_starts(self.scheduler.submit(make_job("a"), now=10.0)))
+
+    def test_a_label_is_required(self) -> None:
+        self.add_worker("w1")
+        self.add_worker("w2", labels=("gpu",))
+        job = make_job("a", make_step(2, label="gpu"))
+        starts = get_starts(self.scheduler.submit(job, now=10.0))
+        self.assertEqual({"w2"}, {start.worker for start in starts})
+
+    def test_a_step_is_spread_as_asked(self) -> None:
+        self.add_worker("w1")
+        self.add_worker("w2")
+        job = make_job("a", make_step(4, max_per_worker=1))
+        starts = get_starts(self.scheduler.submit(job, now=10.0))
+        self.assertEqual(["w1", "w2"], sorted(start.worker for start in starts))
+
+    def test_a_later_step_waits_for_all_tasks_of_the_earlier(self) -> None:
+        self.add_worker("w1")
+        job = make_job("a", make_step(2), make_step(1, after=(0,)))
+        first, second = get_starts(self.scheduler.submit(job, now=10.0))
+        self.assertEqual([], get_starts(self.end(first, EndReason.DONE)))
+        starts = get_starts(self.end(second, EndReason.DONE))
+        self.assertEqual([TaskKey(1, 0)], [start.task for start in starts])
+
+    def test_a_near_worker_goes_before_a_far_one(self) -> None:
+        self.add_worker("far", is_near=False)
+        self.add_worker("near")
+        (start,) = get_starts(self.scheduler.submit(make_job("a"), now=10.0))
+        self.assertEqual("near", start.worker)
+
+
+class EndTests(SchedulerTestCase):
+    def test_the_last_end_finishes_the_job(self) -> None:
+        self.add_worker("w1")
+        first, second = get_starts(self.scheduler.submit(make_job("a", make_step(2)), now=10.0))
+        self.assertEqual([], get_finished(self.end(first, EndReason.DONE)))
+        (finished,) = get_finished(self.end(second, EndReason.DONE))
+        self.assertIs(JobState.SUCCEEDED, finished.state)
+
+    def test_a_failed_run_is_tried_elsewhere(self) -> None:
+        self.add_worker("w1")
+        self.add_worker("w2")
+        (start,) = get_starts(self.scheduler.submit(make_job("a"), now=10.0))
+        (again,) = get_starts(self.end(start, EndReason.FAILED))
+        self.assertNotEqual(start.worker, again.worker)
+        self.assertEqual(2, again.run)
+
+    def test_failures_up_to_the_limit_fail_the_job_and_stop_the_rest(self) -> None:
+        self.add_worker("w1")
+        first, other = get_starts(self.scheduler.submit(make_job("a", make_step(2)), now=10.0))
+        (again,) = get_starts(self.end(first, EndReason.FAILED))
+        actions = self.end(again, EndReason.FAILED)
+        (finished,) = get_finished(actions)
+        self.assertIs(JobState.FAILED, finished.state)
+        self.assertEqual([other.task], [stop.task for stop in get_stops(actions)])
+
+    def test_a_stopped_run_counts_as_no_failure(self) -> None:
+        self.add_worker("w1")
+        job = make_job("a", queue=make_queue(attempts=1))
+        (start,) = get_starts(self.scheduler.submit(job, now=10.0))
+        self.assertEqual(1, len(get_starts(self.end(start, EndReason.STOPPED))))
+
+    def test_an_old_runs_end_changes_nothing(self) -> None:
+        self.add_worker("w1")
+        (start,) = get_starts(self.scheduler.submit(make_job("a"), now=10.0))
+        self.end(start, EndReason.STOPPED)
+        self.assertEqual([], self.end(start, EndReason.DONE))
+
+    def test_a_used_run_number_is_followed_by_the_next(self) -> None:
+        self.add_worker("w1")
+        (start,) = get_starts(self.scheduler.submit(make_job("a"), now=10.0))
+        (again,) = get_starts(self.end(start, EndReason.RUN_USED))
+        self.assertEqual(start.run + 1, again.run)
+
+    def test_a_cancelled_job_is_stopped_and_forgotten(self) -> None:
+        self.add_worker("w1")
+        (start,) = get_starts(self.scheduler.submit(make_job("a"), now=10.0))
+        self.assertEqual([start.task], [s.task for s in get_stops(self.scheduler.cancel("a"))])
+        self.assertEqual([], self.end(start, EndReason.DONE))
+
+
+class LostWorkerTests(SchedulerTestCase):
+    def test_a_lost_run_is_not_tried_before_it_has_surely_ended(self) -> None:
+        self.add_worker("w1")
+        self.scheduler.submit(make_job("a"), now=10.0)
+        self.add_worker("w2")
+        self.assertEqual([], get_starts(self.scheduler.lose_worker("w1", now=11.0)))
+        self.assertEqual([], get_starts(self.scheduler.tick(now=11.0 + LOST_RUN_S - 0.01)))
+        (again,) = get_starts(self.scheduler.tick(now=11.0 + LOST_RUN_S))
+        self.assertEqual(("w2", 2), (again.worker, again.run))
+
+    def test_a_run_that_the_agent_still_lists_goes_on(self) -> None:
+        self.add_worker("w1")
+        (start,) = get_starts(self.scheduler.submit(make_job("a"), now=10.0))
+        self.scheduler.lose_worker("w1", now=10.1)
+        self.add_worker("w1")
+        listed = [("a", start.task, start.run)]
+        self.assertEqual([], self.scheduler.reconcile("w1", listed, now=10.2))
+        self.assertEqual([], get_starts(self.scheduler.tick(now=20.0)))
+        self.assertEqual(1, len(get_finished(self.end(start, EndReason.DONE))))
+
+    def test_a_run_that_the_agent_does_not_list_is_tried_at_once(self) -> None:
+        self.add_worker("w1")
+        self.scheduler.submit(make_job("a"), now=10.0)
+        self.scheduler.lose_worker("w1", now=10.1)
+        self.add_worker("w1")
+        (again,) = get_starts(self.scheduler.reconcile("w1", [], now=10.2))
+        self.assertEqual(2, again.run)
+
+    def test_a_listed_run_that_nobody_wants_is_stopped(self) -> None:
+        self.add_worker("w1")
+        listed = [("gone", TaskKey(0, 0), 3)]
+        (stop,) = get_stops(self.scheduler.reconcile("w1", listed, now=10.2))
+        self.assertEqual(("gone", 3), (stop.job_id, stop.run))
+
+    def test_cancelling_names_lost_runs_as_well(self) -> None:
+        self.add_worker("w1")
+        self.scheduler.submit(make_job("a"), now=10.0)
+        self.scheduler.lose_worker("w1", now=10.1)
+        self.assertEqual(1, len(get_stops(self.scheduler.cancel("a"))))
+
+
+class RefusalTests(SchedulerTestCase):
+    def test_a_job_that_can_not_be_on_time_is_refused_with_a_time_to_come_back(self) -> None:
+        self.add_worker("w1", cpu=1000)
+        self.scheduler.submit(make_job("a"), now=10.0)
+        self.scheduler.submit(make_job("b"), now=10.0)
+        self.assertEqual([], get_refused(self.scheduler.tick(now=10.05)))
+        (refused,) = get_refused(self.scheduler.tick(now=10.5))
+        self.assertEqual("b", refused.job.id)
+        self.assertIs(RefusalCause.OVERLOAD, refused.cause)
+        self.assertGreater(refused.retry_after_s, 0.0)
+
+    def test_a_job_with_a_start_is_never_refused(self) -> None:
+        self.add_worker("w1", cpu=1000)
+        self.scheduler.submit(make_job("a", make_step(2)), now=10.0)
+        self.assertEqual([], get_refused(self.scheduler.tick(now=20.0)))
+
+    def test_a_start_that_an_agent_did_not_take_does_not_count_as_begun(self) -> None:
+        self.add_worker("w1", cpu=1000)
+        (start,) = get_starts(self.scheduler.submit(make_job("a"), now=10.0))
+        self.assertEqual([], get_starts(self.end(start, EndReason.NOT_TAKEN)))
+        (refused,) = get_refused(self.scheduler.tick(now=11.0))
+        self.assertIs(RefusalCause.NO_WORKERS, refused.cause)
+
+    def test_a_hopeless_job_is_told_so_at_once(self) -> None:
+        self.add_worker("w1", cpu=1000)
+        job = make_job("a", make_step(resources=Resources(cpu=2000)))
+        (finished,) = get_finished(self.scheduler.submit(job, now=10.0))
+        self.assertIs(JobState.FAILED, finished.state)
+
+    def test_a_young_owner_calls_nothing_hopeless(self) -> None:
+        self.add_worker("w1", cpu=1000)
+        job = make_job("a", make_step(resources=Resources(cpu=2000)))
+        self.assertEqual([], self.scheduler.submit(job, now=5.0))
+
+    def test_a_worker_that_was_seen_before_keeps_hope(self) -> None:
+        self.add_worker("w1", cpu=4000)
+        self.add_worker("w2", cpu=1000)
+        self.scheduler.lose_worker("w1", now=10.0)
+        job = make_job("a", make_step(resources=Resources(cpu=2000)))
+        self.assertEqual([], get_finished(self.scheduler.submit(job, now=10.0)))
+
+
+def make_slow(**fields: object) -> SlowRun:
+    values = {"age_s": 1.0, "total_s": 10.0, "worker_pace": 0.0, "is_stalled": False}
+    return SlowRun(**{**values, **fields})
+
+
+class SlowRunTests(SchedulerTestCase):
+    def report(self, report: SlowRun) -> list[object]:
+        (start,) = get_starts(self.scheduler.submit(make_job("a"), now=10.0))
+        self.worker = start.worker
+        self.add_worker("w2")
+        return self.scheduler.report_slow(
+            start.worker, "a", start.task, start.run, report, now=11.0
+        )
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.add_worker("w1")
+
+    def test_a_run_that_stands_still_is_stopped_first_and_then_moved(self) -> None:
+        (stop,) = self.report(make_slow(is_stalled=True))
+        self.assertEqual("w1", stop.worker)
+        (start,) = get_starts(
+            self.scheduler.end_run(
+                "w1", "a", stop.task, stop.run, EndReason.STOPPED, run_s=1.0, now=11.1
+            )
+        )
+        self.assertEqual("w2", start.worker)
+
+    def test_a_long_run_on_a_sound_worker_is_left_alone(self) -> None:
+        self.assertEqual([], self.report(make_slow(worker_pace=1.2)))
+
+    def test_a_run_on_a_worker_that_crawls_is_moved(self) -> None:
+        self.assertEqual(1, len(self.report(make_slow(worker_pace=5.0))))
+
+    def test_a_run_that_is_nearly_over_is_left_alone(self) -> None:
+        report = make_slow(age_s=9.0, total_s=10.0, worker_pace=5.0)
+        self.assertEqual([], self.report(report))
+
+    def test_tasks_of_the_same_step_tell_a_slow_run_from_a_long_one(self) -> None:
+        self.add_worker("w2")
+        starts = get_starts(self.scheduler.submit(make_job("a", make_step(3)), now=10.0))
+        for start in starts[1:]:
+            self.end(start, EndReason.DONE)
+        report = make_slow(age_s=0.3, total_s=1.0, worker_pace=1.0)
+        slow = starts[0]
+        actions = self.scheduler.report_slow(
+            slow.worker, "a", slow.task, slow.run, report, now=10.3
+        )
+        self.assertEqual([slow.task], [stop.task for stop in get_stops(actions)])
--- /dev/null
+++ b/tests/core/supervision/test_supervisor.py
@@ -0,0 +1,245 @@
+"""The agent's decisions: room, orders without an answer, silent owners, lives of the worker."""
+
+from __future__ import annotations
+
+import testtools
+
+from dalemast.core.scheduling import EndReason
+from dalemast.core.supervision import (
+    Action,
+    EndedRun,
+    ListedRun,
+    OrderStart,
+    OrderStop,
+    ReportEnd,
+    ReportSlow,
+    RunId,
+    StartOutcome,
+    StartRequest,
+    Supervisor,
+    SupervisorLimits,
+    WorkerHealth,
+    WorkerLife,
+)
+from dalemast.core.workloads import Resources, TaskKey
+
+PATIENCE_S = 0.45
+
+
+def make_life(life_id: str = "i-1", *, is_leaving: bool = False, cpu: int = 4000) -> WorkerLife:
+    return WorkerLife(
+        id=life_id,
+        service="floor",
+        data_centre="austin",
+        capacity=Resources(cpu=cpu, memory_mb=1000),
+        labels=frozenset(),
+        is_leaving=is_leaving,
+    )
+
+
+def make_start(job_id: str = "a", *, run: int = 1, cpu: int = 1000, position: int = 0):
+    return StartRequest(
+        owner="o1",
+        run_id=RunId(job_id, TaskKey(0, position), run),
+        payload="text",
+        resources=Resources(cpu=cpu, memory_mb=10),
+        expected_s=0.2,
+        number=1,
+    )
+
+
+def pick(actions: list[Action], kind: type) -> list:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+class SupervisorTestCase(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        limits = SupervisorLimits(owner_patience_s=PATIENCE_S)
+        self.supervisor = Supervisor(limits=limits)
+        self.supervisor.meet_life(make_life())
+        self.look(now=0.0)
+
+    def look(
+        self,
+        *running: ListedRun,
+        ended: tuple[EndedRun, ...] = (),
+        now: float,
+        asked_at: float | None = None,
+    ) -> list[Action]:
+        asked_at = now if asked_at is None else asked_at
+        return self.supervisor.look(running, ended, asked_at=asked_at, now=now)
+
+    def start(self, request: StartRequest, now: float = 1.0) -> list[Action]:
+        return self.supervisor.start(request, now=now)
+
+    def run_task(self, request: StartRequest, now: float = 1.0) -> RunId:
+        self.start(request, now=now)
+        self.supervisor.take_outcome(
+            request.run_id, StartOutcome.RUNNING, now=now, expires_at=now + 0.6
+        )
+        return request.run_id
+
+
+class RoomTests(SupervisorTestCase):
+    def test_a_start_that_does_not_fit_is_not_taken(self) -> None:
+        self.run_task(make_start("a", cpu=3000))
+        (report,) = pick(self.start(make_start("b", cpu=2000)), ReportEnd)
+        self.assertIs(EndReason.NO_ROOM, report.reason)
+
+    def test_room_stays_taken_until_the_end_is_listed(self) -> None:
+        run_id = self.run_task(make_start(cpu=4000))
+        self.supervisor.stop(run_id)
+        self.assertEqual(0, self.supervisor.get_free().cpu)
+        self.look(ended=(EndedRun(1, run_id, EndReason.STOPPED),), now=1.1)
+        self.assertEqual(4000, self.supervisor.get_free().cpu)
+
+    def test_a_start_that_is_known_already_is_not_ordered_twice(self) -> None:
+        request = make_start()
+        self.assertEqual(1, len(pick(self.start(request), OrderStart)))
+        self.assertEqual([], self.start(request))
+
+    def test_nothing_starts_before_the_first_look(self) -> None:
+        self.supervisor.meet_life(make_life("i-2"))
+        (report,) = pick(self.start(make_start()), ReportEnd)
+        self.assertIs(EndReason.NOT_TAKEN, report.reason)
+
+    def test_runs_of_an_earlier_agent_are_stopped_before_anything_starts(self) -> None:
+        self.supervisor.meet_life(make_life("i-2"))
+        stray = RunId("old", TaskKey(0, 0), 1)
+        (stop,) = pick(self.look(ListedRun(stray, 5.0), now=1.0), OrderStop)
+        self.assertEqual(stray, stop.run_id)
+        self.assertFalse(self.supervisor.is_accepting(now=1.0))
+        self.look(ended=(EndedRun(1, stray, EndReason.STOPPED),), now=1.1)
+        self.assertTrue(self.supervisor.is_accepting(now=1.1))
+
+
+class UnansweredOrderTests(SupervisorTestCase):
+    def order_unanswered(self) -> RunId:
+        request = make_start(cpu=4000)
+        self.start(request)
+        actions = self.supervisor.take_outcome(
+            request.run_id, StartOutcome.UNANSWERED, now=1.3, expires_at=1.9
+        )
+        self.assertEqual([OrderStop(run_id=request.run_id)], actions)
+        return request.run_id
+
+    def test_its_room_stays_taken_until_it_can_no_longer_be_carried_out(self) -> None:
+        self.order_unanswered()
+        self.assertEqual([], pick(self.look(now=1.85), ReportEnd))
+        self.assertEqual(0, self.supervisor.get_free().cpu)
+        (report,) = pick(self.look(now=1.95), ReportEnd)
+        self.assertIs(EndReason.STOPPED, report.reason)
+        self.assertEqual(4000, self.supervisor.get_free().cpu)
+
+    def test_an_answered_stop_bars_the_run_at_once(self) -> None:
+        run_id = self.order_unanswered()
+        (report,) = pick(self.supervisor.take_stop_answer(run_id, now=1.4), ReportEnd)
+        self.assertIs(EndReason.STOPPED, report.reason)
+
+    def test_a_run_that_was_listed_is_over_only_when_its_end_is(self) -> None:
+        run_id = self.order_unanswered()
+        self.look(ListedRun(run_id, 3.0), now=1.4)
+        self.assertEqual([], self.supervisor.take_stop_answer(run_id, now=1.5))
+        ended = (EndedRun(1, run_id, EndReason.STOPPED),)
+        self.assertEqual(1, len(pick(self.look(ended=ended, now=1.6), ReportEnd)))
+
+    def test_a_look_from_before_the_order_ended_says_nothing(self) -> None:
+        self.order_unanswered()
+        self.assertEqual([], pick(self.look(now=1.95, asked_at=1.8), ReportEnd))
+
+    def test_a_used_run_number_is_settled_by_the_next_look(self) -> None:
+        request = make_start()
+        self.start(request)
+        actions = self.supervisor.take_outcome(
+            request.run_id, StartOutcome.RUN_USED, now=1.2, expires_at=1.9
+        )
+        self.assertEqual([], actions)
+        ended = (EndedRun(1, request.run_id, EndReason.DONE),)
+        (report,) = pick(self.look(ended=ended, now=1.3), ReportEnd)
+        self.assertIs(EndReason.DONE, report.reason)
+
+
+class OwnerTests(SupervisorTestCase):
+    def test_the_runs_of_a_silent_owner_are_stopped(self) -> None:
+        run_id = self.run_task(make_start())
+        self.assertEqual([], self.supervisor.tick(now=1.0 + PATIENCE_S))
+        self.assertEqual([OrderStop(run_id=run_id)], self.supervisor.tick(now=1.01 + PATIENCE_S))
+
+    def test_an_owner_that_is_heard_keeps_its_runs(self) -> None:
+        self.run_task(make_start())
+        self.supervisor.hear("o1", now=1.4)
+        self.assertEqual([], self.supervisor.tick(now=1.6))
+
+    def test_a_stop_without_effect_is_said_again(self) -> None:
+        run_id = self.run_task(make_start())
+        self.supervisor.stop(run_id)
+        self.assertEqual([], self.supervisor.get_unstopped(now=1.05, older_than_s=0.15))
+        self.assertEqual([run_id], self.supervisor.get_unstopped(now=1.3, older_than_s=0.15))
+
+
+class LifeTests(SupervisorTestCase):
+    def test_a_new_life_ends_all_runs(self) -> None:
+        self.run_task(make_start())
+        (report,) = pick(self.supervisor.meet_life(make_life("i-2")), ReportEnd)
+        self.assertIs(EndReason.STOPPED, report.reason)
+
+    def test_a_leaving_worker_gets_no_start_and_keeps_its_runs(self) -> None:
+        self.run_task(make_start())
+        self.supervisor.meet_life(make_life(is_leaving=True))
+        (report,) = pick(self.start(make_start("b")), ReportEnd)
+        self.assertIs(EndReason.NOT_TAKEN, report.reason)
+        self.assertEqual(1, len(self.supervisor.runs))
+
+    def test_an_agent_that_drains_takes_nothing_and_cuts_off_nothing(self) -> None:
+        self.run_task(make_start())
+        self.assertEqual([], pick(self.supervisor.drain(), OrderStop))
+        (report,) = pick(self.start(make_start("b")), ReportEnd)
+        self.assertIs(EndReason.NOT_TAKEN, report.reason)
+
+
+class PaceTests(SupervisorTestCase):
+    def test_a_run_without_progress_is_reported_as_stalled(self) -> None:
+        run_id = self.run_task(make_start())
+        self.look(ListedRun(run_id, 20.0), now=1.1)
+        self.look(ListedRun(run_id, 20.0), now=1.3)
+        (report,) = pick(self.look(ListedRun(run_id, 20.0), now=1.6), ReportSlow)
+        self.assertTrue(report.is_stalled)
+
+    def test_a_run_that_is_on_its_way_is_not_reported(self) -> None:
+        run_id = self.run_task(make_start())
+        self.assertEqual([], pick(self.look(ListedRun(run_id, 90.0), now=1.2), ReportSlow))
+
+    def test_the_pace_of_a_worker_needs_several_jobs(self) -> None:
+        runs = [self.run_task(make_start(name)) for name in ("a", "b", "c")]
+        rows = [ListedRun(run_id, 10.0) for run_id in runs]
+        reports = pick(self.look(*rows, now=1.2), ReportSlow)
+        self.assertEqual({10.0}, {round(report.worker_pace, 6) for report in reports})
+
+    def test_one_job_says_nothing_of_its_worker(self) -> None:
+        run_id = self.run_task(make_start())
+        (report,) = pick(self.look(ListedRun(run_id, 10.0), now=1.2), ReportSlow)
+        self.assertEqual(0.0, report.worker_pace)
+
+
+class HealthTests(testtools.TestCase):
+    def test_failures_of_one_job_say_nothing(self) -> None:
+        health = WorkerHealth()
+        for _ in range(5):
+            health.note_failed("a", now=0.0)
+        self.assertTrue(health.may_start(running=3, now=0.0))
+
+    def test_failures_of_several_jobs_leave_single_trials(self) -> None:
+        health = WorkerHealth()
+        health.note_failed("a", now=0.0)
+        health.note_failed("b", now=0.0)
+        self.assertFalse(health.may_start(running=0, now=0.5))
+        self.assertTrue(health.may_start(running=0, now=1.0))
+        self.assertFalse(health.may_start(running=1, now=1.0))
+
+    def test_a_success_restores_trust(self) -> None:
+        health = WorkerHealth()
+        health.note_failed("a", now=0.0)
+        health.note_failed("b", now=0.0)
+        health.note_done()
+        self.assertTrue(health.may_start(running=5, now=0.1))
--- a/tests/entry/test_submissions.py
+++ b/tests/entry/test_submissions.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from dalemast.http.client import HttpFailure, JsonResponse
 from dalemast.hosting import FaultControls
+from dalemast.http.client import HttpFailure, JsonResponse
 from tests.base import AsyncTestCase, LocalSystem, make_job, wait_until
 
 
--- a/tests/entry/test_tls.py
+++ b/tests/entry/test_tls.py
@@ -13,8 +13,8 @@
 from cryptography.x509.oid import NameOID
 
 from dalemast.entry import EntryProcess
-from dalemast.http.client import HttpFailure, JsonClient
 from dalemast.hosting import MemoryPlatform
+from dalemast.http.client import HttpFailure, JsonClient
 from dalemast.settings import EntrySettings, ListenerSettings, TlsSettings
 from tests.base import FREE_ADDRESS, AsyncTestCase
 
--- /dev/null
+++ b/tests/fleet/base.py
@@ -0,0 +1,197 @@
+"""A whole fleet in one loop: emulated store and workers, real entries and agents."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import msgspec
+
+from dalemast.emulator import EmulatedStore, EmulatedWorker
+from dalemast.fleet.agent import FleetAgentProcess
+from dalemast.fleet.entry import FleetEntryProcess
+from dalemast.http.client import HttpFailure, JsonClient, JsonResponse
+from dalemast.settings import (
+    AddressSettings,
+    FleetAgentSettings,
+    FleetEntrySettings,
+    ListenerSettings,
+)
+from tests.base import wait_until
+
+SERVICE = "floor"
+HOST = "draws.example"
+PREFIX = "/draws/"
+STEP = {"count": 1, "cpu": 1000, "mem_mb": 10, "estimate_ms": 100}
+
+
+def find_address() -> str:
+    """Return an address whose port the system has just given out."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def make_configuration(version: int, **route: Any) -> dict[str, Any]:
+    row = {
+        "name": "draws",
+        "host": HOST,
+        "path_prefix": PREFIX,
+        "service": SERVICE,
+        "attempts": 2,
+        "stretch": 1.6,
+        "slo_ms": 500,
+    }
+    return {"version": version, "routes": [{**row, **route}]}
+
+
+class LocalFleet:
+    """Entries, agents with their workers, and a store, as a context manager."""
+
+    def __init__(self, *, entries: int = 2, workers: int = 2, cpu: int = 4000) -> None:
+        self.store = EmulatedStore(address="127.0.0.1:0")
+        self._entry_count = entries
+        self._worker_count = workers
+        self._cpu = cpu
+        self.entries: list[FleetEntryProcess] = []
+        self.agents: list[FleetAgentProcess] = []
+        self.workers: list[EmulatedWorker] = []
+        self.client = JsonClient()
+
+    async def __aenter__(self) -> LocalFleet:
+        self.store.start()
+        self.store.put("op", "config", make_configuration(7))
+        self.entry_settings = [self._make_entry(n) for n in range(self._entry_count)]
+        for settings in self.entry_settings:
+            await self.add_entry(settings)
+        for number in range(self._worker_count):
+            await self._add_worker(number)
+        await wait_until(self.is_ready, "the fleet to be ready")
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        for worker in self.workers:
+            await worker.crash()
+        for process in [*self.entries, *self.agents]:
+            await process.close()
+        await self.store.close()
+
+    def is_ready(self) -> bool:
+        """Whether every entry sees every worker and every other entry."""
+        states = [entry.get_state() for entry in self.entries]
+        return all(
+            entry.is_ready
+            and len(state["workers"]) == len(self.agents)  # type: ignore[arg-type]
+            and all(w["is_accepting"] for w in state["workers"].values())  # type: ignore[attr-defined]
+            and len(state["peers"]) == len(self.entries) - 1  # type: ignore[arg-type]
+            for entry, state in zip(self.entries, states, strict=True)
+        )
+
+    async def add_entry(self, settings: FleetEntrySettings) -> FleetEntryProcess:
+        """Start an entry."""
+        entry = FleetEntryProcess(settings=settings)
+        await entry.start()
+        self.entries.append(entry)
+        return entry
+
+    async def submit(
+        self,
+        job_id: str,
+        *,
+        entry: int = 0,
+        text: str = "",
+        count: int = 1,
+        timeout_s: float = 15.0,
+        **step: Any,
+    ) -> JsonResponse:
+        """Submit a job and wait for its answer."""
+        body = {
+            "spec": text,
+            "steps": [{**STEP, "count": count, **step}],
+            "best_effort": True,
+        }
+        return await self.call("POST", PREFIX + job_id, entry, body, timeout_s=timeout_s)
+
+    async def call(
+        self, method: str, path: str, entry: int = 0, body: Any = None, timeout_s: float = 15.0
+    ) -> JsonResponse:
+        """Call an entry as a caller does."""
+        address = self.entry_settings[entry].callers.address
+        return await self.client.request(
+            method,
+            f"http://{address}{path}",
+            body=body,
+            headers={"Host": HOST},
+            timeout_s=timeout_s,
+        )
+
+    async def hang_up(self, job_id: str, *, entry: int = 0, after_s: float, **job: Any) -> None:
+        """Submit a job and break the connection off."""
+        try:
+            await self.submit(job_id, entry=entry, timeout_s=after_s, **job)
+        except HttpFailure:
+            return
+        raise AssertionError("the job was answered before the caller hung up")
+
+    def get_running(self, job_id: str) -> list[str]:
+        """Return the tasks of a job that run now, one entry a run."""
+        return [
+            task
+            for worker in self.workers
+            for task in worker.active_tasks
+            if task.startswith(job_id)
+        ]
+
+    def get_started(self, job_id: str) -> list[tuple[str, int]]:
+        """Return every run of a job that was ever started."""
+        return [
+            row for worker in self.workers for row in worker.started if row[0].startswith(job_id)
+        ]
+
+    def _make_entry(self, number: int) -> FleetEntrySettings:
+        return FleetEntrySettings(
+            name=f"entry-{number}",
+            data_centre="austin",
+            callers=ListenerSettings(address=find_address()),
+            readiness=ListenerSettings(address=find_address()),
+            links=ListenerSettings(address=find_address()),
+            metrics=ListenerSettings(address="127.0.0.1:0"),
+            store=AddressSettings(address=self.store.address),
+            drain_limit_s=5.0,
+        )
+
+    async def _add_worker(self, number: int) -> None:
+        reports = find_address()
+        worker = EmulatedWorker(
+            address="127.0.0.1:0",
+            report_to=reports,
+            service=SERVICE,
+            zone="austin",
+            cpu=self._cpu,
+        )
+        worker.start()
+        agent = FleetAgentProcess(
+            settings=FleetAgentSettings(
+                name=f"agent-{number}",
+                data_centre="austin",
+                registration=ListenerSettings(address=reports),
+                worker=AddressSettings(address=worker.address),
+                metrics=ListenerSettings(address="127.0.0.1:0"),
+                store=AddressSettings(address=self.store.address),
+                seeds=tuple(s.links.address for s in self.entry_settings[:1]),
+            )
+        )
+        await agent.start()
+        self.workers.append(worker)
+        self.agents.append(agent)
+
+
+def make_text(run_s: float) -> str:
+    """Return the text of a task that runs this long on an emulated worker."""
+    return msgspec.json.encode({"run_s": run_s}).decode()
+
+
+async def settle() -> None:
+    """Let what is under way on loopback arrive."""
+    await asyncio.sleep(0.2)
--- /dev/null
+++ b/tests/fleet/test_book.py
@@ -0,0 +1,39 @@
+"""What counts as news of another entry."""
+
+from __future__ import annotations
+
+import testtools
+
+from dalemast.fleet.base import Member
+from dalemast.fleet.book import AddressBook
+
+
+def make_member(incarnation: str, address: str = "10.0.0.1:80") -> Member:
+    return Member(name="e1", incarnation=incarnation, address=address, data_centre="austin")
+
+
+class AddressBookTests(testtools.TestCase):
+    def test_another_life_at_a_known_address_is_no_news(self) -> None:
+        """Two entries that heard of two lives told each other of them without end."""
+        book = AddressBook()
+        self.assertEqual(1, len(book.learn([make_member("old")])))
+        self.assertEqual([], book.learn([make_member("new")]))
+        self.assertEqual([], book.learn([make_member("old")]))
+
+    def test_a_seed_is_news_once_its_name_is_known(self) -> None:
+        book = AddressBook()
+        book.add_addresses(["10.0.0.1:80"])
+        self.assertEqual(1, len(book.learn([make_member("a")])))
+
+    def test_each_address_is_told_once(self) -> None:
+        book = AddressBook()
+        told: list[str] = []
+        book.on_address(told.append)
+        book.add_addresses(["10.0.0.1:80"])
+        book.learn([make_member("a"), make_member("b")])
+        self.assertEqual(["10.0.0.1:80"], told)
+
+    def test_the_own_address_is_passed_over(self) -> None:
+        book = AddressBook(own_address="10.0.0.1:80")
+        self.assertEqual([], book.learn([make_member("a")]))
+        self.assertEqual([], book.addresses)
--- /dev/null
+++ b/tests/fleet/test_path.py
@@ -0,0 +1,255 @@
+"""The whole path: callers, entries, agents and workers, with faults on the way."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from tests.base import AsyncTestCase, wait_until
+from tests.fleet.base import PREFIX, LocalFleet, make_configuration, make_text, settle
+
+JOB = "00000000000000aa"
+
+
+def read_state(response: Any) -> str:
+    return str(response.decode(dict[str, Any])["state"])
+
+
+class CalmTests(AsyncTestCase):
+    def test_a_job_is_answered_once_all_its_tasks_are_done(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet() as fleet:
+                response = await fleet.submit(JOB, count=6)
+                self.assertEqual((200, "succeeded"), (response.status, read_state(response)))
+                started = fleet.get_started(JOB)
+                self.assertEqual(sorted((f"{JOB}.0.0.{n}", 1) for n in range(6)), sorted(started))
+
+        self.run_async(scenario())
+
+    def test_an_agent_finds_entries_that_its_seed_tells_of(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=3, workers=1) as fleet:
+                response = await fleet.submit(JOB, entry=2)
+                self.assertEqual(200, response.status)
+
+        self.run_async(scenario())
+
+    def test_what_is_not_served_is_refused_as_not_run(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                body = {"spec": "", "steps": [{"count": 1, "cpu": 10}]}
+                response = await fleet.call("POST", PREFIX + JOB, body=body)
+                self.assertEqual(503, response.status)
+                self.assertNotEqual("", response.retry_after)
+                self.assertEqual([], fleet.get_started(JOB))
+
+        self.run_async(scenario())
+
+    def test_paths_and_bodies_that_mean_nothing_are_told_so(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                cases = [
+                    ("POST", "/nowhere/" + JOB, {}, 404),
+                    ("GET", "/nowhere/", None, 404),
+                    ("POST", PREFIX + "not-an-id", {}, 400),
+                    ("POST", PREFIX + JOB, {"steps": []}, 400),
+                    ("GET", PREFIX + JOB, None, 410),
+                    ("DELETE", PREFIX + JOB, None, 410),
+                    ("GET", PREFIX, None, 200),
+                ]
+                for method, path, body, status in cases:
+                    response = await fleet.call(method, path, body=body)
+                    self.assertEqual(status, response.status, f"{method} {path}")
+
+        self.run_async(scenario())
+
+    def test_a_hopeless_attempt_limit_fails_the_job(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(workers=1) as fleet:
+                fleet.workers[0].set_faults(fail=1.0)
+                response = await fleet.submit(JOB)
+                self.assertEqual((200, "failed"), (response.status, read_state(response)))
+                self.assertEqual(2, len(fleet.get_started(JOB)))
+
+        self.run_async(scenario())
+
+
+class ConfigurationTests(AsyncTestCase):
+    def test_a_new_configuration_reaches_every_entry(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet() as fleet:
+                fleet.store.put("op", "config", make_configuration(9, path_prefix="/new/"))
+                await wait_until(
+                    lambda: all(e.get_state()["configuration"] == 9 for e in fleet.entries)
+                )
+                response = await fleet.call("GET", PREFIX)
+                self.assertEqual(404, response.status)
+
+        self.run_async(scenario())
+
+    def test_an_older_configuration_is_never_taken(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                fleet.store.put("op", "config", make_configuration(3, path_prefix="/old/"))
+                await settle()
+                self.assertEqual(7, fleet.entries[0].get_state()["configuration"])
+
+        self.run_async(scenario())
+
+    def test_a_feed_whose_history_is_gone_begins_anew(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                fleet.store.forget_history()
+                fleet.store.put("op", "config", make_configuration(9))
+                await wait_until(lambda: fleet.entries[0].get_state()["configuration"] == 9)
+
+        self.run_async(scenario())
+
+    def test_a_peer_brings_the_configuration_while_the_store_is_down(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=2, workers=1) as fleet:
+                await fleet.entries[1].close()
+                fleet.entries.pop()
+                fleet.store.outage = "busy"
+                settings = fleet.entry_settings[1]
+                settings = type(settings)(
+                    **{
+                        **{f: getattr(settings, f) for f in settings.__struct_fields__},
+                        "seeds": (fleet.entry_settings[0].links.address,),
+                    }
+                )
+                entry = await fleet.add_entry(settings)
+                await wait_until(lambda: entry.get_state()["configuration"] == 7)
+
+        self.run_async(scenario())
+
+
+class ResubmissionTests(AsyncTestCase):
+    def test_two_submissions_of_an_id_never_run_at_the_same_time(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet() as fleet:
+                text = make_text(0.8)
+                first = asyncio.ensure_future(fleet.submit(JOB, entry=0, text=text))
+                await wait_until(lambda: len(fleet.get_running(JOB)) == 1)
+                second = asyncio.ensure_future(fleet.submit(JOB, entry=1, text=text))
+                while not second.done():
+                    self.assertLessEqual(len(fleet.get_running(JOB)), 1)
+                    await asyncio.sleep(0.01)
+                self.assertEqual(200, second.result().status)
+                self.assertEqual(502, (await first).status)
+
+        self.run_async(scenario())
+
+    def test_a_second_submission_at_the_same_entry_joins_the_first(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                text = make_text(0.5)
+                first = asyncio.ensure_future(fleet.submit(JOB, text=text))
+                await wait_until(lambda: len(fleet.get_running(JOB)) == 1)
+                second = await fleet.submit(JOB, text=text)
+                self.assertEqual(200, second.status)
+                self.assertEqual(502, (await first).status)
+                self.assertEqual(1, len(fleet.get_started(JOB)))
+
+        self.run_async(scenario())
+
+    def test_a_caller_that_hangs_up_before_the_claim_leaves_the_next_one_alone(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                # A young entry without peers grants nothing yet, so the first claim still waits.
+                await fleet.hang_up(JOB, after_s=0.2)
+                self.assertEqual(200, (await fleet.submit(JOB)).status)
+
+        self.run_async(scenario())
+
+    def test_a_caller_that_hangs_up_has_its_tasks_stopped(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                await fleet.hang_up(JOB, after_s=2.5, text=make_text(30.0))
+                self.assertEqual(1, len(fleet.get_started(JOB)))
+                await wait_until(lambda: not fleet.get_running(JOB))
+                response = await fleet.submit(JOB, text=make_text(0.05))
+                self.assertEqual(200, response.status)
+
+        self.run_async(scenario())
+
+
+class WorkerFaultTests(AsyncTestCase):
+    def test_a_worker_that_crashes_has_its_tasks_run_elsewhere(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet() as fleet:
+                job = asyncio.ensure_future(fleet.submit(JOB, text=make_text(0.6)))
+                await wait_until(lambda: len(fleet.get_running(JOB)) == 1)
+                (victim,) = [w for w in fleet.workers if w.active_tasks]
+                await victim.crash()
+                response = await job
+                self.assertEqual((200, "succeeded"), (response.status, read_state(response)))
+
+        self.run_async(scenario())
+
+    def test_a_task_that_stands_still_is_moved(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet() as fleet:
+                for worker in fleet.workers:
+                    worker.set_faults(stand_still=1.0)
+                job = asyncio.ensure_future(fleet.submit(JOB))
+                await wait_until(lambda: len(fleet.get_running(JOB)) == 1)
+                for worker in fleet.workers:
+                    worker.set_faults(stand_still=0.0)
+                response = await job
+                self.assertEqual((200, "succeeded"), (response.status, read_state(response)))
+                self.assertEqual(2, len(fleet.get_started(JOB)))
+
+        self.run_async(scenario())
+
+    def test_orders_without_an_answer_never_make_two_runs(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1) as fleet:
+                for worker in fleet.workers:
+                    worker.set_faults(late_orders=0.5)
+                jobs = [
+                    asyncio.ensure_future(fleet.submit(f"{n:016x}", count=2)) for n in range(1, 9)
+                ]
+                while not all(job.done() for job in jobs):
+                    running = [task for w in fleet.workers for task in w.active_tasks]
+                    self.assertEqual(len(set(running)), len(running))
+                    await asyncio.sleep(0.01)
+                for job in jobs:
+                    self.assertIn(job.result().status, (200, 503))
+
+        self.run_async(scenario())
+
+    def test_a_leaving_worker_gets_nothing_new(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet() as fleet:
+                fleet.workers[0].state = "draining"
+                await wait_until(lambda: not fleet.agents[0].get_state()["is_accepting"])
+                response = await fleet.submit(JOB, count=4)
+                self.assertEqual(200, response.status)
+                self.assertEqual([], fleet.workers[0].started)
+
+        self.run_async(scenario())
+
+
+class PlannedStopTests(AsyncTestCase):
+    def test_an_entry_that_stops_finishes_its_jobs(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet() as fleet:
+                job = asyncio.ensure_future(fleet.submit(JOB, text=make_text(0.6)))
+                await wait_until(lambda: len(fleet.get_running(JOB)) == 1)
+                await fleet.entries[0].drain()
+                self.assertEqual([], fleet.entries[0].get_unfinished())
+                self.assertEqual(200, (await job).status)
+
+        self.run_async(scenario())
+
+    def test_an_agent_that_stops_finishes_its_runs(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(workers=1) as fleet:
+                job = asyncio.ensure_future(fleet.submit(JOB, text=make_text(0.6)))
+                await wait_until(lambda: len(fleet.get_running(JOB)) == 1)
+                await fleet.agents[0].drain()
+                self.assertEqual(200, (await job).status)
+                self.assertEqual(1, len(fleet.get_started(JOB)))
+
+        self.run_async(scenario())
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,51 @@
+"""The platform's names stay in the adapter, and the adapter is named by settings only."""
+
+from __future__ import annotations
+
+import ast
+import re
+from pathlib import Path
+
+import testtools
+
+import dalemast
+
+ROOT = Path(dalemast.__file__).parent
+ALLOWED = ("platform", "emulator")
+"""The emulator stands in for the platform and uses the adapter's messages."""
+WIRE_NAMES = re.compile(
+    r"Dalemast-(Deadline|Expect|Instance|Lease|Fence)|/v1/(run-|hold\b|pace\b|advise|machine|rows-|blob-)"
+    r"|Instances\.|\b(since_rev|acked_upto|best_effort|rejects_overload|path_prefix|slo_ms"
+    r"|anti_affinity|same_rack|may_miss|if_rev|set_keys|more_pages|until_ms|estimate_ms"
+    r"|cold_left_ms|hold_max_ms)\b"
+)
+
+
+def get_files() -> list[Path]:
+    return [
+        file
+        for file in sorted(ROOT.rglob("*.py"))
+        if file.relative_to(ROOT).parts[0] not in ALLOWED
+    ]
+
+
+def get_imports(file: Path) -> set[str]:
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(file.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module)
+    return names
+
+
+class BoundaryTests(testtools.TestCase):
+    def test_nothing_imports_the_adapter(self) -> None:
+        for file in get_files():
+            for name in get_imports(file):
+                self.assertFalse(name.startswith("dalemast.platform"), f"{file} imports {name}")
+
+    def test_no_wire_name_stands_outside(self) -> None:
+        for file in get_files():
+            found = WIRE_NAMES.search(file.read_text())
+            self.assertIsNone(found, f"{file}: {found}")
