--- a/dalemast/core/workloads/__init__.py
+++ b/dalemast/core/workloads/__init__.py
@@ -2,7 +2,9 @@
 
 from dalemast.core.workloads.base import JobRequest, Resources, StepRequest, TaskKey
 from dalemast.core.workloads.exceptions import (
+    JobGivenUp,
     JobNotSupported,
+    JobNotTaken,
     JobShapeInvalid,
     QueuesUnknown,
     QueueUnknown,
@@ -10,7 +12,9 @@
 from dalemast.core.workloads.queues import Queue, QueueTable
 
 __all__ = [
+    "JobGivenUp",
     "JobNotSupported",
+    "JobNotTaken",
     "JobRequest",
     "JobShapeInvalid",
     "Queue",
--- a/dalemast/core/workloads/exceptions.py
+++ b/dalemast/core/workloads/exceptions.py
@@ -3,8 +3,16 @@
 from __future__ import annotations
 
 from dalemast.core.exceptions import DalemastError
+from dalemast.core.verdicts import Run
 
-__all__ = ["JobNotSupported", "JobShapeInvalid", "QueueUnknown", "QueuesUnknown"]
+__all__ = [
+    "JobGivenUp",
+    "JobNotSupported",
+    "JobNotTaken",
+    "JobShapeInvalid",
+    "QueueUnknown",
+    "QueuesUnknown",
+]
 
 
 class QueueUnknown(DalemastError):
@@ -37,3 +45,20 @@
     code = "E2004"
     status = 503
     hint = "docs/topics/fleet.md lists what is served."
+
+
+class JobNotTaken(DalemastError):
+    """The job could not be begun in time; none of it has run nor ever will."""
+
+    code = "E2005"
+    status = 503
+    hint = "Come back after the time given."
+
+
+class JobGivenUp(DalemastError):
+    """The job may have run in part and is not followed here any more."""
+
+    code = "E2006"
+    status = 502
+    hint = "Submit it again with the same id: it never runs twice at the same time."
+    default_run = Run.MAY_HAVE_RUN
--- a/dalemast/management/commands/check.py
+++ b/dalemast/management/commands/check.py
@@ -14,6 +14,8 @@
     AgentSettings,
     CheckLevel,
     EntrySettings,
+    FleetAgentSettings,
+    FleetEntrySettings,
     PlatformServerSettings,
     SettingsInvalid,
     load_document,
@@ -27,6 +29,8 @@
     "entry": EntrySettings,
     "agent": AgentSettings,
     "platform": PlatformServerSettings,
+    "fleet-entry": FleetEntrySettings,
+    "fleet-agent": FleetAgentSettings,
 }
 
 
@@ -45,7 +49,7 @@
 
     file: Annotated[str, cappa.Arg(help="A YAML file.")]
     role: Annotated[
-        str, cappa.Arg(long=True, help="entry, agent, platform or declarations; guessed if absent.")
+        str, cappa.Arg(long=True, help="A role, or declarations; guessed if absent.")
     ] = ""
 
     def __call__(self) -> int:
--- a/dalemast/management/commands/reference.py
+++ b/dalemast/management/commands/reference.py
@@ -15,7 +15,9 @@
 import dalemast
 from dalemast.core.exceptions import get_error_classes
 from dalemast.management.exceptions import PageUnknown
+from dalemast.settings import FleetAgentSettings, FleetEntrySettings
 from dalemast.settings import base as settings_base
+from dalemast.settings import fleet as fleet_settings
 from dalemast.settings.base import AgentSettings, EntrySettings, PlatformServerSettings, Settings
 
 __all__ = ["ReferenceCommand", "render_errors", "render_settings"]
@@ -32,14 +34,16 @@
 _SETTINGS_HEADER = """# Settings
 
 Made from the code by `dalemast reference settings`; a test holds this page and the code together.
-Settings are YAML; unknown keys are refused, and every key has a default. `dalemast check FILE`
-finds errors without starting anything.
+Settings are YAML; unknown keys are refused. `dalemast check FILE` finds errors without starting
+anything.
 """
 
 _ROLES: tuple[tuple[str, type[Settings]], ...] = (
     ("entry", EntrySettings),
     ("agent", AgentSettings),
     ("platform", PlatformServerSettings),
+    ("fleet-entry", FleetEntrySettings),
+    ("fleet-agent", FleetAgentSettings),
 )
 
 
@@ -64,8 +68,10 @@
     shown = {settings_type for _, settings_type in _ROLES}
     for role, settings_type in _ROLES:
         parts.append(_render_section(f"`dalemast {role}`", settings_type))
-    for name in settings_base.__all__:
-        settings_type = getattr(settings_base, name)
+    names = dict.fromkeys(settings_base.__all__, settings_base)
+    names |= dict.fromkeys(fleet_settings.__all__, fleet_settings)
+    for name, module in names.items():
+        settings_type = getattr(module, name)
         if settings_type not in shown and settings_type is not Settings:
             parts.append(_render_section(name, settings_type))
     return "\n".join(parts)
@@ -83,6 +89,7 @@
     name = getattr(kind, "__name__", None)
     if name is None or getattr(kind, "__args__", None):
         name = str(kind).replace("dalemast.settings.base.", "")
+        name = name.replace("dalemast.settings.fleet.", "")
     return name.replace("|", "or")
 
 
--- a/dalemast/platform/ingress.py
+++ b/dalemast/platform/ingress.py
@@ -12,7 +12,9 @@
 
 from dalemast.core.exceptions import DalemastError
 from dalemast.core.workloads import (
+    JobGivenUp,
     JobNotSupported,
+    JobNotTaken,
     JobRequest,
     JobShapeInvalid,
     Queue,
@@ -99,7 +101,7 @@
             self._send(status_code, RejectionBody(error="the request broke off", code="E0000"))
             return
         log_event("request:rejected", path=self.request.path, code=error.code, why=error.message)
-        self._reject(error.status, error.message, error.code, error.retry_after_s or 0.0)
+        self._reject(error)
 
     def log_exception(self, typ: object, value: object, tb: object) -> None:
         """Log faults of our own only; typed errors are answers."""
@@ -138,16 +140,20 @@
             case JobDone():
                 self._send(200, JobStateBody(state=outcome.state.value))
             case JobTurnedAway():
-                self._reject(503, f"not run: {outcome.cause}", "E2005", outcome.retry_after_s)
+                message = f"not run: {outcome.cause}"
+                self._reject(JobNotTaken(message, retry_after_s=outcome.retry_after_s))
             case JobDropped():
-                # 502 and not 503: the job may have run in part, so "not run" would be untrue.
-                self._reject(502, f"given up: {outcome.cause}", "E2006", 0.0)
+                # Not 503: the job may have run in part, so "not run" would be untrue.
+                self._reject(JobGivenUp(f"given up: {outcome.cause}"))
 
-    def _reject(self, status: int, message: str, code: str, retry_after_s: float) -> None:
+    def _reject(self, error: DalemastError) -> None:
+        retry_after_s = error.retry_after_s or 0.0
         if retry_after_s:
             self.set_header("Retry-After", str(max(1, math.ceil(retry_after_s))))
-        retry_ms = math.ceil(retry_after_s * 1000)
-        self._send(status, RejectionBody(error=message, code=code, retry_ms=retry_ms))
+        body = RejectionBody(
+            error=error.message, code=error.code, retry_ms=math.ceil(retry_after_s * 1000)
+        )
+        self._send(error.status, body)
 
     def _send(self, status: int, body: msgspec.Struct) -> None:
         if self._jobs.is_draining:
--- a/dalemast/settings/checks.py
+++ b/dalemast/settings/checks.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from dalemast.fleet.timing import FleetTimes
 from dalemast.settings.base import (
     AgentSettings,
     EntrySettings,
@@ -18,9 +19,12 @@
 )
 
 __all__ = ["CheckLevel", "CheckMessage", "run_checks"]
+from dalemast.settings.fleet import FleetAgentSettings, FleetSettings
 
 _ADDRESS = re.compile(r"(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})\Z")
 LOG_LEVELS = ("none", "errors", "jobs", "all")
+SHORTEST_LEASE_S = 0.2
+"""Below it a lease would lapse between two looks of an agent that is slowed."""
 WORKER_CONNECTIONS = 64
 """Connections that the platform gives a worker."""
 
@@ -169,6 +173,36 @@
         )
 
 
+def _check_fleet(settings: Settings) -> Iterator[CheckMessage]:
+    if not isinstance(settings, FleetSettings):
+        return
+    addresses = {"store.address": settings.store.address}
+    if isinstance(settings, FleetAgentSettings):
+        addresses["worker.address"] = settings.worker.address
+    addresses |= {f"seeds[{n}]": seed for n, seed in enumerate(settings.seeds)}
+    for place, address in addresses.items():
+        if _ADDRESS.match(address) is None:
+            yield _error(
+                14,
+                f"$.{place}",
+                f"{address!r} is not an IP number and a port",
+                "write it as 10.0.0.1:8700",
+            )
+    times = FleetTimes.fit(
+        resend_s=settings.resend_ms / 1000,
+        lease_max_s=settings.lease_max_ms / 1000,
+        stop_s=settings.stop_ms / 1000,
+    )
+    if times.lease_s < SHORTEST_LEASE_S or times.lost_run_s >= settings.resend_ms / 1000:
+        yield _error(
+            15,
+            "$.resend_ms",
+            f"runs of a lost owner end after {times.lost_run_s:.2f} s at the soonest, and a caller "
+            f"may submit again after {settings.resend_ms / 1000:.2f} s",
+            "the time until a caller submits again must leave room for leases of 0.2 s",
+        )
+
+
 def _check_platform_server(settings: Settings) -> Iterator[CheckMessage]:
     if isinstance(settings, PlatformServerSettings) and settings.writes_per_s < 0:
         yield _error(13, "$.writes_per_s", "a rate is not below 0", "0 sets no limit")
@@ -181,4 +215,5 @@
     _check_agent,
     _check_secrets,
     _check_platform_server,
+    _check_fleet,
 )
--- a/tests/core/test_imports.py
+++ b/tests/core/test_imports.py
@@ -10,7 +10,19 @@
 import dalemast.core
 
 FORBIDDEN = {"tornado", "asyncio", "socket", "time", "os", "threading", "subprocess", "pycurl"}
-OUTSIDE = {"entry", "agent", "http", "local", "management", "platform", "process", "settings"}
+OUTSIDE = {
+    "agent",
+    "emulator",
+    "entry",
+    "fleet",
+    "hosting",
+    "http",
+    "local",
+    "management",
+    "platform",
+    "process",
+    "settings",
+}
 
 
 def get_imports(file: Path) -> set[str]:
