Count a start that an agent refused as never begun in the model too

Cause: the property test failed once in a run of several folders and not alone: the model took a job whose only start was refused by the agent for one that has begun, so a true refusal looked false.

Ruled out: a fault of the scheduler; the failing example was replayed by its blob and shows a start that ended as not taken, then a refusal as not run.

--- a/tests/core/scheduling/test_properties.py
+++ b/tests/core/scheduling/test_properties.py
@@ -28,6 +28,7 @@
     StopTask,
     WorkerView,
 )
+from dalemast.core.scheduling.actions import NEVER_STARTED
 from dalemast.core.workloads import Resources
 from tests.core.scheduling.base import LOST_RUN_S, make_job, make_step
 
@@ -53,7 +54,7 @@
         }
         self.dies_at: dict[str, float] = {}
         self.refused: set[str] = set()
-        self.begun: set[str] = set()
+        self.ran: set[str] = set()
         for name in WORKERS:
             self.connect(name)
             self.report(name)
@@ -88,15 +89,19 @@
                     self.check_alone(action)
                     key = (action.job.id, action.task, action.run)
                     self.alive[action.worker][key] = action
-                    self.begun.add(action.job.id)
                 case StopTask():
                     pass
                 case JobRefused():
-                    assert action.job.id not in self.begun, "a job that has begun was refused"
+                    assert not self.has_begun(action.job.id), "a job that has begun was refused"
                     self.refused.add(action.job.id)
                 case JobFinished():
                     pass
 
+    def has_begun(self, job_id: str) -> bool:
+        """Tell whether a run of a job was ever carried out, or may yet be."""
+        may_run = any(run[0] == job_id for runs in self.alive.values() for run in runs)
+        return may_run or job_id in self.ran
+
     def check_alone(self, start: StartTask) -> None:
         for runs in self.alive.values():
             for job_id, task, _ in runs:
@@ -123,6 +128,8 @@
         if start is None:
             return
         del self.alive[start.worker][(start.job.id, start.task, start.run)]
+        if reason not in NEVER_STARTED:
+            self.ran.add(start.job.id)
         self.apply(
             self.scheduler.end_run(
                 start.worker,
