--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -186,16 +186,20 @@
         if pace < SLOW_PACE:
             return []
         view.learn_slowness(pace, weight=PACE_WEIGHT)
-        elsewhere = self._choose(job, task)
-        if elsewhere is None or elsewhere.name == name:
-            return []
-        new_run_s = report.total_s / pace * elsewhere.slowness + STOP_COST_S
-        if report.total_s - report.age_s < MOVE_GAIN * new_run_s:
+        if not report.is_stalled and not self._is_move_worth_while(job, task, report, pace):
             return []
         task.phase = TaskPhase.STOPPING
         task.avoided.add(name)
         return [StopTask(worker=name, job_id=job_id, task=key, run=run)]
 
+    def _is_move_worth_while(self, job: Job, task: Task, report: SlowRun, pace: float) -> bool:
+        """Tell whether a new run elsewhere would end well before this one."""
+        elsewhere = self._choose(job, task)
+        if elsewhere is None or elsewhere.name == task.worker:
+            return False
+        new_run_s = report.total_s / pace * elsewhere.slowness + STOP_COST_S
+        return report.total_s - report.age_s >= MOVE_GAIN * new_run_s
+
     def _judge_pace(self, job: Job, task: Task, report: SlowRun) -> float:
         """Return how many times as long as elsewhere the run takes, by the best evidence.
 
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -220,6 +220,8 @@
             waited_s=round(action.waited_s, 3),
             runs=action.runs,
             tasks=sum(step.count for step in action.job.steps),
+            patience_s=round(action.job.patience_s, 3),
+            declared_s=round(action.job.chain_s, 3),
         )
         job.resolve(JobDone(state=JobState(action.state)))
 
--- a/dalemast/management/roles.py
+++ b/dalemast/management/roles.py
@@ -3,43 +3,22 @@
 from __future__ import annotations
 
 import importlib
-import sys
-from typing import Any, TypeVar
+from typing import Any
 
 from dalemast.hosting import BasePlatform
 from dalemast.observability import set_up_logs
 from dalemast.settings import (
     AgentSettings,
-    CheckLevel,
     EntrySettings,
     LogSettings,
     PlatformSettings,
     SecretSettings,
-    SettingsFailCheck,
-    load_settings,
+    load_role,
     read_secret,
-    run_checks,
 )
 
 __all__ = ["get_secret", "load_platform", "load_role", "read_system_key", "start_logs"]
 
-SettingsT = TypeVar("SettingsT")
-
-
-def load_role(file: str, settings_type: type[SettingsT]) -> SettingsT:
-    """Load the settings of a role and run the checks; findings go to stderr.
-
-    Raises :class:`SettingsInvalid` or :class:`SettingsFailCheck`.
-    """
-    settings = load_settings(file, settings_type) if file else settings_type()
-    findings = run_checks(settings)  # type: ignore[arg-type]
-    for finding in findings:
-        print(finding, file=sys.stderr)
-    errors = [finding for finding in findings if finding.level is CheckLevel.ERROR]
-    if errors:
-        raise SettingsFailCheck(f"{len(errors)} checks fail", place=file or "the defaults")
-    return settings
-
 
 def get_secret(source: SecretSettings, name: str) -> str:
     """Return a secret of the settings."""
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -36,10 +36,11 @@
 START_PATH = "/v1/run-start"
 STOP_PATH = "/v1/run-stop"
 LOOK_PATH = "/v1/hold"
-ORDER_TIMEOUT_S = 0.15
+STOP_TIMEOUT_S = 0.15
 """A worker on the same host answers within a few milliseconds, also when this process is slowed."""
-START_TRIES = 2
-"""A start that stays unanswered is said again: the worker takes a run only once."""
+START_TIMEOUTS_S = (0.04, 0.08, 0.15)
+"""A start that stays unanswered is said again, since the worker takes a run only once. The first
+try is short: answers usually come within 2 ms, and the task waits meanwhile."""
 LOOK_SLACK_S = 0.1
 """How much longer than asked for a look may take."""
 ORDER_CONNECTIONS = 4
@@ -86,7 +87,7 @@
 
     async def start(self, request: StartRequest) -> StartOutcome:
         """Order a start, trying again while it stays unanswered."""
-        for _ in range(START_TRIES):
+        for timeout_s in START_TIMEOUTS_S:
             call = StartCall(
                 task=_name_task(request.run_id),
                 run=request.run_id.run,
@@ -95,7 +96,7 @@
                 fence=self._fence,
             )
             try:
-                response = await self._call(START_PATH, call, ORDER_TIMEOUT_S)
+                response = await self._call(START_PATH, call, timeout_s)
             except HttpFailure:
                 # Counted and logged by the caller once all tries are over.
                 continue
@@ -109,7 +110,7 @@
         """Order a stop; return whether it was answered."""
         call = StopCall(task=_name_task(run_id), run=run_id.run, fence=self._fence)
         try:
-            response = await self._call(STOP_PATH, call, ORDER_TIMEOUT_S)
+            response = await self._call(STOP_PATH, call, STOP_TIMEOUT_S)
         except HttpFailure as failure:
             log_event("stop:unanswered", job=run_id.job_id, reason=failure.message)
             return False
--- a/dalemast/settings/__init__.py
+++ b/dalemast/settings/__init__.py
@@ -22,6 +22,7 @@
     FleetSettings,
 )
 from dalemast.settings.loader import load_document, load_settings, parse_settings, read_secret
+from dalemast.settings.roles import load_role
 
 __all__ = [
     "AddressSettings",
@@ -45,6 +46,7 @@
     "SettingsInvalid",
     "TlsSettings",
     "load_document",
+    "load_role",
     "load_settings",
     "parse_settings",
     "read_secret",
