Leave slow workers alone while the evidence is fresh; let fresh homes settle sooner

Cause: under load tasks went to workers seven times as slow because they had room, and were late or moved. A restarted entry granted no claim for 1.2 s when an entry that was removed for good still stood in the store, so jobs waited unoffered.

Change: a worker that is twice as slow as the best gets nothing until the evidence has faded; one run without ended siblings says little of its worker; entries tell each other their open jobs in the first message of either link, so a fresh home settles within 0.3 s.

--- a/dalemast/core/scheduling/base.py
+++ b/dalemast/core/scheduling/base.py
@@ -25,6 +25,6 @@
 
     @abc.abstractmethod
     def choose(
-        self, *, job: Job, step: StepRequest, workers: Iterable[WorkerView]
+        self, *, job: Job, step: StepRequest, workers: Iterable[WorkerView], now: float
     ) -> WorkerView | None:
         """Return one of the workers that have room for the task, or None if none suits."""
--- a/dalemast/core/scheduling/placements.py
+++ b/dalemast/core/scheduling/placements.py
@@ -27,13 +27,17 @@
         self._remote_factor = remote_factor
 
     def choose(
-        self, *, job: Job, step: StepRequest, workers: Iterable[WorkerView]
+        self, *, job: Job, step: StepRequest, workers: Iterable[WorkerView], now: float
     ) -> WorkerView | None:
         """Return the worker with the least cost; ties go to the first."""
-        return min(workers, key=lambda worker: self._get_cost(job, step, worker), default=None)
 
-    def _get_cost(self, job: Job, step: StepRequest, worker: WorkerView) -> float:
-        cost = worker.slowness
+        def get_cost(worker: WorkerView) -> float:
+            return self._get_cost(job, step, worker, now)
+
+        return min(workers, key=get_cost, default=None)
+
+    def _get_cost(self, job: Job, step: StepRequest, worker: WorkerView, now: float) -> float:
+        cost = worker.get_slowness(now)
         if step.data_rack and step.data_rack not in worker.labels:
             cost *= self._remote_factor
         if not worker.is_near:
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -44,6 +44,11 @@
 without the data by 1.5, so a sound run stays below."""
 PACE_WEIGHT = 0.4
 """How much one report of a slow run says of its worker: after three it is avoided."""
+TOO_SLOW = 2.0
+"""How many times slower than the best a worker may be before it gets no tasks: most would be late
+there, since objectives are 1.6 times the usual run time and a little more."""
+LONGEST_UNPROVED = 1.5
+"""Bound on what a single run without ended siblings says of its worker."""
 MIN_SIBLINGS = 2
 """Ended tasks of a step that are enough to judge the others by."""
 MOVE_GAIN = 1.3
@@ -189,19 +194,21 @@
         pace = self._judge_pace(job, task, report)
         if pace < SLOW_PACE:
             return []
-        view.learn_slowness(pace, weight=PACE_WEIGHT)
-        if not report.is_stalled and not self._is_move_worth_while(job, task, report, pace):
+        view.learn_slowness(pace, now=now, weight=PACE_WEIGHT)
+        if not report.is_stalled and not self._is_move_worth_while(job, task, report, pace, now):
             return []
         task.phase = TaskPhase.STOPPING
         task.avoided.add(name)
         return [StopTask(worker=name, job_id=job_id, task=key, run=run)]
 
-    def _is_move_worth_while(self, job: Job, task: Task, report: SlowRun, pace: float) -> bool:
+    def _is_move_worth_while(
+        self, job: Job, task: Task, report: SlowRun, pace: float, now: float
+    ) -> bool:
         """Tell whether a new run elsewhere would end well before this one."""
-        elsewhere = self._choose(job, task)
+        elsewhere = self._choose(job, task, now)
         if elsewhere is None or elsewhere.name == task.worker:
             return False
-        new_run_s = report.total_s / pace * elsewhere.slowness + STOP_COST_S
+        new_run_s = report.total_s / pace * elsewhere.get_slowness(now) + STOP_COST_S
         return report.total_s - report.age_s >= MOVE_GAIN * new_run_s
 
     def _judge_pace(self, job: Job, task: Task, report: SlowRun) -> float:
@@ -249,7 +256,7 @@
             for task in list(job.waiting):
                 if task.step.resources.cpu > most_free.get(service, -1):
                     break
-                view = self._choose(job, task)
+                view = self._choose(job, task, now)
                 if view is not None:
                     actions.append(self._start(job, task, view, now))
                     most_free = self._get_most_free()
@@ -282,10 +289,24 @@
             number=number,
         )
 
-    def _choose(self, job: Job, task: Task) -> WorkerView | None:
+    def _choose(self, job: Job, task: Task, now: float) -> WorkerView | None:
         fitting = [view for view in self._workers.values() if self._can_take(job, task, view)]
-        fresh = [view for view in fitting if view.name not in task.avoided]
-        return self._placement.choose(job=job, step=task.step, workers=fresh or fitting)
+        quick = self._pick_quick(fitting, now)
+        fresh = [view for view in quick if view.name not in task.avoided]
+        workers = fresh or quick
+        return self._placement.choose(job=job, step=task.step, workers=workers, now=now)
+
+    def _pick_quick(self, fitting: list[WorkerView], now: float) -> list[WorkerView]:
+        """Leave out workers on which tasks would be late, compared with the best of the service.
+
+        Compared, since declared times that are off for all alike make all workers look slow.
+        """
+        if not fitting:
+            return fitting
+        service = fitting[0].service
+        pool = (view for view in self._workers.values() if view.service == service)
+        best = min(view.get_slowness(now) for view in pool)
+        return [view for view in fitting if view.get_slowness(now) < TOO_SLOW * best]
 
     def _can_take(self, job: Job, task: Task, view: WorkerView) -> bool:
         step = task.step
@@ -302,8 +323,8 @@
         view = self._workers.get(task.worker)
         slowness = 1.0
         if view is not None:
-            view.learn_slowness(run_s / max(task.expected_s, 0.001))
-            slowness = view.slowness
+            view.learn_slowness(_compare_run(job, task, run_s), now=now)
+            slowness = view.get_slowness(now)
         self._run_times.learn(
             queue=job.request.queue.name,
             declared_s=task.step.estimate_s,
@@ -425,6 +446,17 @@
         return not all(_can_be_held(step, seen) for step in job.request.steps)
 
 
+def _compare_run(job: Job, task: Task, run_s: float) -> float:
+    """Return a run's time over what it takes elsewhere, by tasks of its step that have ended.
+
+    Without them it is compared with the expected time and bounded: it may be a long job.
+    """
+    ended = job.run_times.get(task.key.step, ())
+    if len(ended) >= MIN_SIBLINGS:
+        return run_s / max(sum(ended) / len(ended), 0.001)
+    return min(run_s / max(task.expected_s, 0.001), LONGEST_UNPROVED)
+
+
 def _can_be_held(step: StepRequest, seen: set[tuple[Resources, frozenset[str]]]) -> bool:
     return any(
         step.resources.fits(capacity) and (not step.label or step.label in labels)
--- a/dalemast/core/scheduling/workers.py
+++ b/dalemast/core/scheduling/workers.py
@@ -10,6 +10,11 @@
 
 SPEED_LEARNING_RATE = 0.1
 """Weight of the newest task in a worker's slowness: about the last ten tasks count."""
+SLOWNESS_HALF_LIFE_S = 2.0
+"""Evidence of slowness halves in this time: workers turn slow for about 6 s, and one that gets no
+tasks gives no new evidence."""
+USUAL_SLOWNESS = 1.5
+"""Up to which slowness a worker may simply be of a slower kind, which does not fade."""
 SLOWNESS_RANGE = (0.3, 20.0)
 """Bounds on what one task may say of a worker's slowness, so that no outlier decides alone."""
 
@@ -63,6 +68,7 @@
         self._sent: dict[int, Resources] = {}
         self._numbers = 0
         self._slowness = 1.0
+        self._learned_at = 0.0
 
     @property
     def name(self) -> str:
@@ -94,11 +100,6 @@
         """Whether its agent takes starts."""
         return self._is_accepting
 
-    @property
-    def slowness(self) -> float:
-        """Its run times over the usual ones: 1 is usual, 2 takes twice as long."""
-        return self._slowness
-
     @property
     def free(self) -> Resources:
         """What was free at the last report, less what was sent since."""
@@ -131,8 +132,20 @@
         """Send it nothing until the next report."""
         self._is_accepting = False
 
-    def learn_slowness(self, ratio: float, *, weight: float = SPEED_LEARNING_RATE) -> None:
+    def learn_slowness(
+        self, ratio: float, *, now: float, weight: float = SPEED_LEARNING_RATE
+    ) -> None:
         """Take in one task's run time over the expected one."""
         lowest, highest = SLOWNESS_RANGE
         ratio = min(max(ratio, lowest), highest)
-        self._slowness += weight * (ratio - self._slowness)
+        slowness = self.get_slowness(now)
+        self._slowness = slowness + weight * (ratio - slowness)
+        self._learned_at = now
+
+    def get_slowness(self, now: float) -> float:
+        """Return its run times over the usual ones: 1 is usual, 2 takes twice as long."""
+        if self._slowness <= USUAL_SLOWNESS:
+            return self._slowness
+        age_s = now - self._learned_at
+        faded = self._slowness * float(0.5 ** (age_s / SLOWNESS_HALF_LIFE_S))
+        return max(USUAL_SLOWNESS, faded)
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -50,6 +50,8 @@
         self.arrived_at = arrived_at
         self.answer: asyncio.Future[JobOutcome] = asyncio.get_running_loop().create_future()
         self.is_submitted = False
+        self.submitted_at = arrived_at
+        """When the id was claimed and the scheduler took the job on."""
 
     def resolve(self, outcome: JobOutcome) -> None:
         """Answer whoever waits, once."""
@@ -113,7 +115,9 @@
             self._release(request.id)
             return await job.answer
         job.is_submitted = True
-        self.apply(self._scheduler.submit(request, now=time.monotonic()))
+        job.submitted_at = time.monotonic()
+        self._metrics.record("claim", "", job.submitted_at - now)
+        self.apply(self._scheduler.submit(request, now=job.submitted_at))
         return await job.answer
 
     def leave(self, job_id: str) -> None:
@@ -217,6 +221,7 @@
             state=action.state.value,
             cause=action.cause,
             took_s=round(took_s, 3),
+            claim_s=round(job.submitted_at - job.arrived_at, 3),
             waited_s=round(action.waited_s, 3),
             runs=action.runs,
             tasks=sum(step.count for step in action.job.steps),
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -40,6 +40,9 @@
 BEAT_S = 0.2
 """Pause between messages on a link between entries. Two misses and some make it silent."""
 SILENCE_S = 0.5
+SETTLE_S = 0.3
+"""A fresh home grants nothing for this long, or until all known entries have told it their jobs.
+They do so in the first message of a link, and an entry that is up is dialled within 0.1 s."""
 DOUBT_S = 4.0
 """For this long after a peer was lost without a goodbye, all peers are asked for a claim, since
 the lost one may be the home of a job that its owner still runs. Cuts last about this long."""
@@ -236,7 +239,7 @@
         link.send(
             PeerHello(
                 member=to_row(self._member),
-                jobs=tuple(self._jobs.get_open_ids()) if is_dialled else (),
+                jobs=tuple(self._jobs.get_open_ids()),
             )
         )
         current = self._configuration.current
@@ -249,6 +252,8 @@
         session.member = member
         self.learn([member])
         session.link.send(MemberNews(members=tuple(to_row(m) for m in self._book.members)))
+        for job_id in hello.jobs:
+            self._claims.claim(job_id, member.incarnation, now=time.monotonic())
         if session.is_dialled:
             self._dialled[member.name] = session
             log_event("peer:link", peer=member.name, peers=len(self._dialled))
@@ -256,8 +261,6 @@
             return
         self._accepted[member.incarnation] = session
         self._claims.note_back(member.incarnation)
-        for job_id in hello.jobs:
-            self._claims.claim(job_id, member.incarnation, now=time.monotonic())
 
     def _tell_configuration(self, configuration: Configuration) -> None:
         news = ConfigurationNews(version=configuration.version, queues=configuration.queues)
@@ -305,15 +308,15 @@
         if owner != self._member.incarnation and self._jobs.has_open(job_id):
             return Held(owner=self._member.incarnation, free_at=None)
         if not self._is_settled(now):
-            return Held(owner="", free_at=self._started_at + self._times.lost_run_s)
+            return Held(owner="", free_at=self._started_at + SETTLE_S)
         return self._claims.claim(job_id, owner, now=now)
 
     def _is_settled(self, now: float) -> bool:
         """Tell whether owners had the time to say which jobs they have."""
-        if now - self._started_at >= self._times.lost_run_s:
+        if now - self._started_at >= SETTLE_S:
             return True
         known = {member.name for member in self._book.members}
-        greeted = {s.member.name for s in self._accepted.values() if s.member is not None}
+        greeted = {s.member.name for s in self._sessions if s.member is not None}
         return bool(known) and known <= greeted
 
     def _answer(self, session: PeerSession, claim: Claim) -> None:
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -215,7 +215,7 @@
                 view.name: {
                     "is_accepting": view.is_accepting,
                     "free_cpu": view.free.cpu,
-                    "slowness": round(view.slowness, 3),
+                    "slowness": round(view.get_slowness(time.monotonic()), 3),
                 }
                 for view in self._scheduler.workers.values()
             },
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -250,3 +250,33 @@
             slow.worker, "a", slow.task, slow.run, report, now=10.3
         )
         self.assertEqual([slow.task], [stop.task for stop in get_stops(actions)])
+
+
+class SlowWorkerTests(SchedulerTestCase):
+    def make_slow(self, name: str, now: float = 10.0) -> None:
+        for _ in range(3):
+            self.scheduler.workers[name].learn_slowness(6.0, now=now, weight=0.4)
+
+    def test_a_slow_worker_gets_nothing_while_the_evidence_is_fresh(self) -> None:
+        self.add_worker("w1")
+        self.add_worker("w2")
+        self.make_slow("w1")
+        starts = get_starts(self.scheduler.submit(make_job("a", make_step(6)), now=10.0))
+        self.assertEqual({"w2"}, {start.worker for start in starts})
+        self.assertEqual(4, len(starts))
+        later = get_starts(self.scheduler.tick(now=15.0))
+        self.assertEqual({"w1"}, {start.worker for start in later})
+
+    def test_workers_that_are_all_slow_are_used(self) -> None:
+        self.add_worker("w1")
+        self.make_slow("w1")
+        self.assertEqual(1, len(get_starts(self.scheduler.submit(make_job("a"), now=10.0))))
+
+    def test_one_long_job_makes_no_worker_slow(self) -> None:
+        self.add_worker("w1", cpu=20000)
+        starts = get_starts(self.scheduler.submit(make_job("a", make_step(12)), now=10.0))
+        for start in starts:
+            self.scheduler.end_run(
+                "w1", "a", start.task, start.run, EndReason.DONE, run_s=1.0, now=11.0
+            )
+        self.assertLess(self.scheduler.workers["w1"].get_slowness(11.0), 1.5)
