--- a/dalemast/core/scheduling/actions.py
+++ b/dalemast/core/scheduling/actions.py
@@ -77,13 +77,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobFinished:
-    """A job has ended. ``waited_s`` is the time until its first task was started."""
+    """A job has ended.
+
+    ``waited_s`` is the time until its first task was started; ``refused_starts`` counts starts that
+    agents did not take, mostly since another owner was quicker to use the room.
+    """
 
     job: JobRequest
     state: JobState
     cause: str
     waited_s: float
     runs: int
+    refused_starts: int
     workers: tuple[str, ...]
 
 
--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -63,6 +63,7 @@
         self.latest_start = arrived_at + objective_s - (1.0 + START_MARGIN) * chain_s
         self.first_start_at: float | None = None
         self.runs = 0
+        self.refused_starts = 0
         self.workers: dict[str, int] = {}
         self.tasks: dict[TaskKey, Task] = {}
         self.run_times: dict[int, list[float]] = {}
@@ -117,6 +118,7 @@
     def set_never_started(self, task: Task) -> None:
         """Take back a start that an agent refused, so that "not run" stays true."""
         self.leave_worker(task)
+        self.refused_starts += 1
         self.runs -= 1
         if self.runs == 0:
             self.first_start_at = None
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -291,11 +291,24 @@
 
     def _choose(self, job: Job, task: Task, now: float) -> WorkerView | None:
         fitting = [view for view in self._workers.values() if self._can_take(job, task, view)]
-        quick = self._pick_quick(fitting, now)
-        fresh = [view for view in quick if view.name not in task.avoided]
-        workers = fresh or quick
+        workers = self._pick_quick(fitting, now)
+        if task.avoided and self._has_alternative(job, task):
+            # A task has few attempts: it waits for another worker to have room rather than fail
+            # on the same one again.
+            workers = [view for view in workers if view.name not in task.avoided]
         return self._placement.choose(job=job, step=task.step, workers=workers, now=now)
 
+    def _has_alternative(self, job: Job, task: Task) -> bool:
+        """Tell whether a worker could take a task, with room or without, that did not fail it."""
+        return any(
+            view.is_accepting
+            and view.name not in task.avoided
+            and view.service == job.request.queue.service
+            and (not task.step.label or task.step.label in view.labels)
+            and task.step.resources.fits(view.capacity)
+            for view in self._workers.values()
+        )
+
     def _pick_quick(self, fitting: list[WorkerView], now: float) -> list[WorkerView]:
         """Leave out workers on which tasks would be late, compared with the best of the service.
 
@@ -407,6 +420,7 @@
             cause=cause,
             waited_s=(now if first is None else first) - job.arrived_at,
             runs=job.runs,
+            refused_starts=job.refused_starts,
             workers=tuple(job.workers),
         )
 
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -40,6 +40,9 @@
 
 __all__ = ["AgentLinks"]
 
+LOGGED_ENDS = frozenset({EndReason.FAILED, EndReason.STOPPED, EndReason.NOT_TAKEN})
+"""Ends with a line of their own. Under load several starts a job find no room; the line at the
+job's end counts them."""
 Apply = Callable[[list[Action]], None]
 
 
@@ -241,7 +244,7 @@
 
     def _end_run(self, session: AgentSession, news: RunEnded) -> None:
         row = news.run
-        if news.reason is not EndReason.DONE:
+        if news.reason in LOGGED_ENDS and row.job in self._scheduler.open_jobs:
             log_event(
                 "run:ended",
                 job=row.job,
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -224,6 +224,7 @@
             claim_s=round(job.submitted_at - job.arrived_at, 3),
             waited_s=round(action.waited_s, 3),
             runs=action.runs,
+            refused_starts=action.refused_starts,
             tasks=sum(step.count for step in action.job.steps),
             patience_s=round(action.job.patience_s, 3),
             declared_s=round(action.job.chain_s, 3),
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -84,6 +84,20 @@
         self.assertNotEqual(start.worker, again.worker)
         self.assertEqual(2, again.run)
 
+    def test_a_failed_task_waits_for_another_worker_to_have_room(self) -> None:
+        self.add_worker("w1")
+        self.add_worker("w2", cpu=1000)
+        starts = get_starts(self.scheduler.submit(make_job("a", make_step(5)), now=10.0))
+        failed = next(start for start in starts if start.worker == "w1")
+        self.assertEqual([], get_starts(self.end(failed, EndReason.FAILED)))
+        done = next(start for start in starts if start.worker == "w2")
+        self.end(done, EndReason.DONE)
+        report = RoomReport(
+            seen=done.number, free=Resources(cpu=1000, memory_mb=1000), is_accepting=True
+        )
+        (again,) = get_starts(self.scheduler.update_worker("w2", report, now=10.2))
+        self.assertEqual((failed.task, "w2"), (again.task, again.worker))
+
     def test_failures_up_to_the_limit_fail_the_job_and_stop_the_rest(self) -> None:
         self.add_worker("w1")
         first, other = get_starts(self.scheduler.submit(make_job("a", make_step(2)), now=10.0))
