Wait for a stop to take its time before an unlisted run counts as over

A mute worker carried a start out and answered none of its three tries. Its agent then stopped the run; the stop was answered at once and takes up to 50 ms, but the agent called the run over, and it began elsewhere 38 ms before the first one ended.

Change: an answered stop bars a run that was never listed, and the run counts as over, with its room, once a stop has taken its longest time.

Ruled out: a second submission (one owner), a late order (run 1 began at the first try).

--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -47,6 +47,8 @@
 """Percents that a run would have gained meanwhile at its pace before, if it stands still."""
 SLOW_REPEAT_S = 0.3
 """Pause between two reports on one run."""
+STOP_MARGIN_S = 0.03
+"""Added to the time of a stop for the worker's clock and the way of its answer."""
 GONE_AFTER_S = 0.25
 """How long after its order was answered a run may be missing from the worker's list, and from
 the ends, before it is taken as over. Answers on other connections can be overtaken by this much."""
@@ -54,9 +56,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SupervisorLimits:
-    """``owner_patience_s``: an owner's runs are stopped when it is silent for longer."""
+    """``owner_patience_s``: an owner's runs are stopped when it is silent for longer.
+
+    ``stop_s`` is the longest time that a stop takes on the worker.
+    """
 
     owner_patience_s: float
+    stop_s: float
 
 
 class RunPhase(enum.Enum):
@@ -77,6 +83,8 @@
         self.started_at = ordered_at
         self.expires_at: float | None = None
         """When an unanswered order can no longer be carried out."""
+        self.barred_at: float | None = None
+        """When a run that was never listed has surely ended, since a stop for it was answered."""
         self.percent = 0.0
         self.progressed_at = ordered_at
         self.reported_at = 0.0
@@ -209,11 +217,15 @@
         return [OrderStop(run_id=run_id)]
 
     def take_stop_answer(self, run_id: RunId, *, now: float) -> list[Action]:
-        """Note that the worker answered a stop: a run that was never listed is barred now."""
+        """Note that the worker answered a stop.
+
+        A run that was never listed can't begin any more. It may be going, though, and then it ends
+        within the time that a stop takes.
+        """
         run = self._runs.get(run_id)
-        if run is None or run.expires_at is None or run.was_listed:
-            return []
-        return self._end(run, EndReason.STOPPED, now)
+        if run is not None and run.expires_at is not None and not run.was_listed:
+            run.barred_at = now + self._limits.stop_s + STOP_MARGIN_S
+        return []
 
     def look(
         self,
@@ -253,8 +265,11 @@
         return [run_id for run_id, run in self._runs.items() if run.request.owner == owner]
 
     def tick(self, *, now: float) -> list[Action]:
-        """Stop the runs of owners that fell silent."""
+        """Stop the runs of owners that fell silent; end those that are barred."""
         actions: list[Action] = []
+        for run in list(self._runs.values()):
+            if run.barred_at is not None and now >= run.barred_at and not run.was_listed:
+                actions += self._end(run, EndReason.STOPPED, now)
         for run_id, run in self._runs.items():
             silent_s = now - self._heard_at.get(run.request.owner, 0.0)
             if silent_s > self._limits.owner_patience_s and run.phase is not RunPhase.STOPPING:
--- a/dalemast/emulator/simulation.py
+++ b/dalemast/emulator/simulation.py
@@ -203,7 +203,7 @@
         self._owners = owners
         self._seen = [0] * owners
         self._ends = itertools.count(1)
-        self._supervisor = Supervisor(limits=SupervisorLimits(owner_patience_s=1e9))
+        self._supervisor = Supervisor(limits=SupervisorLimits(owner_patience_s=1e9, stop_s=0.05))
 
     def connect(self) -> None:
         """Meet the worker and tell the owners."""
--- a/dalemast/fleet/agent/process.py
+++ b/dalemast/fleet/agent/process.py
@@ -40,7 +40,9 @@
         )
         self._metrics = Metrics()
         self._book = AddressBook()
-        limits = SupervisorLimits(owner_patience_s=self._times.owner_patience_s)
+        limits = SupervisorLimits(
+            owner_patience_s=self._times.owner_patience_s, stop_s=self._times.stop_s
+        )
         self._supervisor = Supervisor(limits=limits)
         self._store: BaseMemberStore = load_backend(settings.backends.store, settings=settings)
         driver: BaseWorkerDriver = load_backend(
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -21,9 +21,11 @@
     WorkerHealth,
     WorkerLife,
 )
+from dalemast.core.supervision.supervisor import STOP_MARGIN_S
 from dalemast.core.workloads import Resources, TaskKey
 
 PATIENCE_S = 0.45
+STOP_S = 0.05
 
 
 def make_life(life_id: str = "i-1", *, is_leaving: bool = False, cpu: int = 4000) -> WorkerLife:
@@ -55,7 +57,7 @@
 class SupervisorTestCase(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        limits = SupervisorLimits(owner_patience_s=PATIENCE_S)
+        limits = SupervisorLimits(owner_patience_s=PATIENCE_S, stop_s=STOP_S)
         self.supervisor = Supervisor(limits=limits)
         self.supervisor.meet_life(make_life())
         self.look(now=0.0)
@@ -132,9 +134,14 @@
         self.assertIs(EndReason.STOPPED, report.reason)
         self.assertEqual(4000, self.supervisor.get_free().cpu)
 
-    def test_an_answered_stop_bars_the_run_at_once(self) -> None:
+    def test_an_answered_stop_bars_the_run_once_a_stop_has_taken_its_time(self) -> None:
+        """The run may be going unlisted: a mute worker carries orders out and answers nothing."""
         run_id = self.order_unanswered()
-        (report,) = pick(self.supervisor.take_stop_answer(run_id, now=1.4), ReportEnd)
+        self.assertEqual([], self.supervisor.take_stop_answer(run_id, now=1.4))
+        self.assertEqual([], pick(self.supervisor.tick(now=1.4 + STOP_S), ReportEnd))
+        self.assertEqual(0, self.supervisor.get_free().cpu)
+        late = 1.4 + STOP_S + STOP_MARGIN_S
+        (report,) = pick(self.supervisor.tick(now=late), ReportEnd)
         self.assertIs(EndReason.STOPPED, report.reason)
 
     def test_a_run_that_was_listed_is_over_only_when_its_end_is(self) -> None:
--- /dev/null
+++ b/tests/platform/test_worker.py
@@ -0,0 +1,128 @@
+"""The adapter's calls to a worker, against the stand-in: outcomes, clocks, tokens, lives."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from dalemast.core.scheduling import EndReason
+from dalemast.core.supervision import RunId, StartOutcome, StartRequest, WorkerLife
+from dalemast.core.workloads import Resources, TaskKey
+from dalemast.emulator import EmulatedWorker
+from dalemast.fleet.base import WorkerGone, WorkerUnanswered
+from dalemast.platform import PlatformWorkerDriver
+from tests.base import AsyncTestCase
+from tests.fleet.base import find_address, make_text
+
+LEASE_S = 0.6
+
+
+def make_request(job_id: str = "00000000000000aa", run: int = 1, run_s: float = 0.05):
+    return StartRequest(
+        owner="o",
+        run_id=RunId(job_id, TaskKey(0, 3), run),
+        payload=make_text(run_s),
+        resources=Resources(cpu=1000, memory_mb=10),
+        expected_s=0.1,
+        number=1,
+    )
+
+
+class DriverTests(AsyncTestCase):
+    def play(self, scenario) -> None:
+        async def run() -> None:
+            worker = EmulatedWorker(
+                address="127.0.0.1:0",
+                report_to=find_address(),
+                service="floor",
+                zone="austin",
+                cpu=4000,
+            )
+            worker.start()
+            settings = SimpleNamespace(worker=SimpleNamespace(address=worker.address))
+            driver = PlatformWorkerDriver(settings=settings, lease_s=LEASE_S)
+            driver.meet(make_life(worker.life_id))
+            try:
+                await scenario(worker, driver)
+            finally:
+                await worker.crash()
+
+        self.run_async(run())
+
+    def test_a_run_is_listed_and_its_end_is_told_once(self) -> None:
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            await driver.look(wait_s=0.0, renews=False)
+            request = make_request(run_s=0.3)
+            self.assertIs(StartOutcome.RUNNING, await driver.start(request))
+            look = await driver.look(wait_s=0.0, renews=True)
+            self.assertEqual([request.run_id], [row.run_id for row in look.running])
+            look = await driver.look(wait_s=2.0, renews=True)
+            self.assertEqual(
+                [(request.run_id, EndReason.DONE)], [(e.run_id, e.reason) for e in look.ended]
+            )
+            self.assertEqual((), (await driver.look(wait_s=0.0, renews=True)).ended)
+
+        self.play(scenario)
+
+    def test_a_used_run_number_is_told(self) -> None:
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            await driver.look(wait_s=0.0, renews=False)
+            request = make_request()
+            self.assertTrue(await driver.stop(request.run_id))
+            self.assertIs(StartOutcome.RUN_USED, await driver.start(request))
+
+        self.play(scenario)
+
+    def test_a_lease_that_is_not_renewed_ends_what_runs(self) -> None:
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            await driver.look(wait_s=0.0, renews=False)
+            await driver.start(make_request(run_s=30.0))
+            look = await driver.look(wait_s=1.9, renews=False)
+            self.assertEqual([EndReason.STOPPED], [end.reason for end in look.ended])
+
+        self.play(scenario)
+
+    def test_another_life_at_the_address_is_noticed(self) -> None:
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            driver.meet(make_life("i-gone"))
+            self.assertIs(StartOutcome.WRONG_LIFE, await driver.start(make_request()))
+            with self.assertRaises(WorkerGone):
+                await driver.look(wait_s=0.0, renews=True)
+
+        self.play(scenario)
+
+    def test_a_dead_worker_and_a_silent_one_are_told_apart(self) -> None:
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            worker.set_faults(late_orders=1.0)
+            self.assertIs(StartOutcome.UNANSWERED, await driver.start(make_request()))
+            await worker.crash()
+            with self.assertRaises(WorkerGone):
+                await driver.look(wait_s=0.0, renews=True)
+
+        self.play(scenario)
+
+    def test_a_higher_token_that_the_worker_has_seen_is_passed(self) -> None:
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            later = PlatformWorkerDriver(
+                settings=SimpleNamespace(worker=SimpleNamespace(address=worker.address)),
+                lease_s=LEASE_S,
+            )
+            later._fence += 1000  # as after a step of the clock
+            later.meet(make_life(worker.life_id))
+            await later.look(wait_s=0.0, renews=False)
+            with self.assertRaises(WorkerUnanswered):
+                await driver.look(wait_s=0.0, renews=False)
+            await driver.look(wait_s=0.0, renews=False)
+            self.assertIs(StartOutcome.RUNNING, await driver.start(make_request()))
+
+        self.play(scenario)
+
+
+def make_life(life_id: str) -> WorkerLife:
+    return WorkerLife(
+        id=life_id,
+        service="floor",
+        data_centre="austin",
+        capacity=Resources(cpu=4000, memory_mb=1000),
+        labels=frozenset(),
+        is_leaving=False,
+    )
