--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -194,9 +194,10 @@
             run.progressed_at = now
             return []
         if outcome is StartOutcome.UNANSWERED:
+            self._health.note_failed(run_id.job_id, now=now)
             run.phase = RunPhase.STOPPING
             run.expires_at = expires_at
-            return [OrderStop(run_id=run_id)]
+            return [OrderStop(run_id=run_id), ReportRoom()]
         if outcome in (StartOutcome.REJECTED, StartOutcome.WRONG_LIFE, StartOutcome.FENCED):
             self._health.note_failed(run_id.job_id, now=now)
             return self._end(run, EndReason.NOT_TAKEN, now)
