Add a soak of the fleet's real processes under faults in series

Change: tests/soak starts entries and agents as processes, puts a proxy in front of each worker, each entry's links and the store, and strikes with kills, pauses, stops, reloads, resets, delays, one-way cuts, store outages, lost answers, forgotten history, worker faults and crashes, which overlap. It checks what callers and workers see: no two runs of a task at a time, success only with every task done, a refusal only of what never started, configurations that never go back, and service again after the faults. An entry may advertise another address than it listens on.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 BENCH ?= short
 
-.PHONY: setup demo serve test format bench soak binary capacity docs
+.PHONY: setup demo serve test format bench soak fleet-soak binary capacity docs
 
 setup: $(VENV)/.installed
 
@@ -36,6 +36,9 @@
 soak: setup
 	$(BIN)/python -m pytest tests/core/test_promises.py -p no:cacheprovider --soak $(or $(SECONDS),60)
 
+fleet-soak: setup
+	$(BIN)/python -m tests.soak --seeds $(or $(SEEDS),10) --seconds $(or $(SECONDS),15)
+
 capacity: setup
 	$(BIN)/python -m dalemast.bench.capacity --check
 
--- a/dalemast/emulator/runs.py
+++ b/dalemast/emulator/runs.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["EmulatedRuns", "Order", "Overlap"]
+__all__ = ["EmulatedRuns", "Order"]
 
 LEASE_MAX_S = 1.0
 """The platform's longest lease."""
@@ -23,15 +23,6 @@
     stands_still: bool = False
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Overlap:
-    """Two runs of one task at a time, on whatever workers."""
-
-    task: str
-    first: str
-    second: str
-
-
 class ActiveRun:
     """One run that is going."""
 
@@ -60,6 +51,8 @@
         self._ends = 0
         self._fence = 0
         self._until_s = 0.0
+        self.done: set[str] = set()
+        """Tasks that have ended well here."""
 
     @property
     def active(self) -> dict[str, ActiveRun]:
@@ -129,5 +122,7 @@
 
     def _end(self, task: str, how: str) -> None:
         active = self._active.pop(task)
+        if how == "done":
+            self.done.add(task)
         self._ends += 1
         self._ended.append((self._ends, task, active.order.run, how))
--- a/dalemast/emulator/worker.py
+++ b/dalemast/emulator/worker.py
@@ -77,6 +77,7 @@
         self._life_id = ""
         self._beats = 0
         self._runs = EmulatedRuns()
+        self._done: set[str] = set()
         self._faults = WorkerFaults()
         self._random = random.Random(7)
         self._client = JsonClient()
@@ -85,6 +86,8 @@
         self.state = "ready"
         self.started: list[tuple[str, int]] = []
         """Every run that was started, in order: task and run."""
+        self.on_start: Callable[[str], None] = lambda task: None
+        """Called with each task that is started."""
 
     @property
     def life_id(self) -> str:
@@ -97,6 +100,12 @@
         self._runs.advance(self._now())
         return set(self._runs.active)
 
+    def has_done(self, task: str) -> bool:
+        """Tell whether a task has ended well here, in any life."""
+        self._runs.advance(self._now())
+        self._done |= self._runs.done
+        return task in self._done
+
     def set_faults(self, **faults: float) -> None:
         """Change the faults."""
         self._faults = replace(self._faults, **faults)
@@ -120,6 +129,7 @@
 
     async def crash(self) -> None:
         """End the life at once, with everything that runs."""
+        self._done |= self._runs.done
         self._runs = EmulatedRuns()
         for task in self._tasks:
             task.cancel()
@@ -184,6 +194,7 @@
         reason = self._runs.start(order, now=now)
         if not reason and not was_active:
             self.started.append((order.task, order.run))
+            self.on_start(order.task)
         return (409 if reason else 200), self._make_answer(reason)
 
     async def _stop_run(self, call: dict[str, Any]) -> tuple[int, ClockAnswer]:
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -60,10 +60,10 @@
         self._member = Member(
             name=settings.name,
             incarnation=make_incarnation(),
-            address=settings.links.address,
+            address=settings.advertised or settings.links.address,
             data_centre=settings.data_centre,
         )
-        self._book = AddressBook(own_address=settings.links.address)
+        self._book = AddressBook(own_address=self._member.address)
         self._configuration = ConfigurationInForce()
         self._scheduler = Scheduler(
             order=load_backend(settings.order),
--- a/dalemast/settings/fleet.py
+++ b/dalemast/settings/fleet.py
@@ -56,12 +56,14 @@
     ``callers``, ``readiness`` and ``links`` are where callers, the platform's balancer, and agents
     and other entries connect. ``remote_factor`` is how many times as long a task takes on a rack
     that does not hold its data. ``order`` is the dotted path of the class that says which of the
-    waiting jobs goes first; see dalemast/core/scheduling/orders.py.
+    waiting jobs goes first; see dalemast/core/scheduling/orders.py. ``advertised`` is the address
+    at which others reach ``links`` when it is not the listener's own, as behind a proxy.
     """
 
     callers: ListenerSettings
     readiness: ListenerSettings
     links: ListenerSettings
+    advertised: str = ""
     remote_factor: float = 1.5
     order: str = "dalemast.core.scheduling.PriorityOrder"
 
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,43 @@
+"""``python -m tests.soak --seeds 50``: many seeds by hand; logs of those that broke are kept."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import shutil
+import sys
+from pathlib import Path
+
+from tests.soak.run import Soak
+
+
+def main() -> int:
+    """Play the seeds and return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3, help="how many fresh seeds")
+    parser.add_argument("--seed", type=int, default=None, help="one seed again")
+    parser.add_argument("--seconds", type=float, default=15.0, help="length of the faults")
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--workers", type=int, default=4)
+    parser.add_argument("--logs", default="build/soak", help="where logs are kept")
+    options = parser.parse_args()
+    seeds = [options.seed] if options.seed is not None else []
+    seeds = seeds or [random.SystemRandom().randrange(10**6) for _ in range(options.seeds)]
+    broken = 0
+    for seed in seeds:
+        folder = Path(options.logs) / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = Soak(seed=seed, folder=folder, entries=options.entries, workers=options.workers)
+        report = asyncio.run(soak.play(seconds=options.seconds))
+        print(report, flush=True)
+        if report.broken:
+            broken += 1
+        else:
+            shutil.rmtree(folder)
+    print(f"{len(seeds) - broken} passed, {broken} failed")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/cluster.py
@@ -0,0 +1,166 @@
+"""The real programs as processes, with stand-ins of the platform and proxies between them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from dalemast.emulator import EmulatedStore, EmulatedWorker
+from dalemast.http.client import HttpFailure, JsonClient
+from tests.fleet.base import SERVICE, find_address, make_configuration
+from tests.soak.proxy import Proxy
+
+ROOT = Path(__file__).parents[2]
+
+
+class Program:
+    """One fleet process that can be killed, paused, stopped and started again."""
+
+    def __init__(self, *, role: str, name: str, folder: Path, settings: dict[str, Any]) -> None:
+        self.name = name
+        self._role = role
+        self._log = (folder / f"{name}.log").open("ab")
+        self._file = folder / f"{name}.yaml"
+        self._file.write_text(yaml.safe_dump(settings))
+        self.metrics = settings["metrics"]["address"]
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start it."""
+        environment = {**os.environ, "DALEMAST_BOOT": str(self._file)}
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "dalemast", self._role],
+            cwd=ROOT,
+            env=environment,
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone, if it lives."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait for its end and return the exit code."""
+        assert self._process is not None
+        while self._process.poll() is None:
+            await asyncio.sleep(0.02)
+        return int(self._process.returncode)
+
+    async def end(self) -> None:
+        """Kill it for good."""
+        self.signal(signal.SIGKILL)
+        await self.wait()
+        self._log.close()
+
+
+class Cluster:
+    """Entries, agents, workers and a store. Ports come from the system."""
+
+    def __init__(self, *, folder: Path, entries: int, workers: int) -> None:
+        self._folder = folder
+        self._counts = (entries, workers)
+        self.store = EmulatedStore(address="127.0.0.1:0")
+        self.workers: list[EmulatedWorker] = []
+        self.entries: list[Program] = []
+        self.agents: list[Program] = []
+        self.callers: list[str] = []
+        self.proxies: list[Proxy] = []
+        self.client = JsonClient()
+        self.version = 7
+
+    async def start(self) -> None:
+        """Start everything."""
+        self.store.start()
+        self.store.put("op", "config", make_configuration(self.version))
+        store = await self._add_proxy(self.store.address)
+        links = []
+        entries, workers = self._counts
+        for number in range(entries):
+            address = find_address()
+            proxy = await self._add_proxy(address)
+            links.append(proxy.address)
+            self._add_entry(number, address, proxy.address, store.address)
+        for number in range(workers):
+            await self._add_worker(number, links[:1], store.address)
+        for program in [*self.entries, *self.agents]:
+            program.start()
+
+    async def close(self) -> None:
+        """End everything that was started."""
+        for program in [*self.entries, *self.agents]:
+            await program.end()
+        for worker in self.workers:
+            await worker.crash()
+        for proxy in self.proxies:
+            await proxy.close()
+        await self.store.close()
+
+    def change_configuration(self) -> None:
+        """Let the operator accept another version."""
+        self.version += 3
+        self.store.put("op", "config", make_configuration(self.version))
+
+    async def get_state(self, program: Program) -> dict[str, Any] | None:
+        """Return a process's dump, or None when it does not answer."""
+        try:
+            response = await self.client.request(
+                "GET", f"http://{program.metrics}/state", timeout_s=0.5
+            )
+        except HttpFailure:
+            return None
+        return dict(response.decode(dict[str, Any]))
+
+    async def _add_proxy(self, target: str) -> Proxy:
+        proxy = Proxy(target=target)
+        await proxy.start()
+        self.proxies.append(proxy)
+        return proxy
+
+    def _add_entry(self, number: int, links: str, advertised: str, store: str) -> None:
+        callers = find_address()
+        self.callers.append(callers)
+        settings = {
+            "name": f"entry-{number}",
+            "data_centre": "austin",
+            "callers": {"address": callers},
+            "readiness": {"address": find_address()},
+            "links": {"address": links},
+            "advertised": advertised,
+            "metrics": {"address": find_address()},
+            "store": {"address": store},
+        }
+        program = Program(
+            role="fleet-entry", name=f"entry-{number}", folder=self._folder, settings=settings
+        )
+        self.entries.append(program)
+
+    async def _add_worker(self, number: int, seeds: list[str], store: str) -> None:
+        reports = find_address()
+        worker = EmulatedWorker(
+            address="127.0.0.1:0", report_to=reports, service=SERVICE, zone="austin", cpu=8000
+        )
+        worker.start()
+        self.workers.append(worker)
+        proxy = await self._add_proxy(worker.address)
+        settings = {
+            "name": f"agent-{number}",
+            "data_centre": "austin",
+            "registration": {"address": reports},
+            "worker": {"address": proxy.address},
+            "metrics": {"address": find_address()},
+            "store": {"address": store},
+            "seeds": seeds,
+        }
+        program = Program(
+            role="fleet-agent", name=f"agent-{number}", folder=self._folder, settings=settings
+        )
+        self.agents.append(program)
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,85 @@
+"""A loopback proxy that delays, silences, cuts one way or resets what passes through it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CHUNK_BYTES = 65536
+
+
+class Proxy:
+    """One listening address in front of another. Held-up bytes pass on once the fault is over."""
+
+    def __init__(self, *, target: str) -> None:
+        self._target = target
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._open = {"up": asyncio.Event(), "down": asyncio.Event()}
+        self.delay_s = 0.0
+        self.address = ""
+        self.heal()
+
+    async def start(self) -> None:
+        """Listen on a port that the system chooses."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def close(self) -> None:
+        """Stop and drop all connections."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def silence(self, *ways: str) -> None:
+        """Hold up what goes up, down, or both."""
+        for way in ways:
+            self._open[way].clear()
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.delay_s = 0.0
+        for event in self._open.values():
+            event.set()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self._target.rpartition(":")
+        try:
+            onward = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        ways = [("up", reader, onward[1]), ("down", onward[0], writer)]
+        tasks = [asyncio.create_task(self._pump(*way)) for way in ways]
+        self._tasks.update(tasks)
+        self._writers.update((writer, onward[1]))
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            task.cancel()
+            self._tasks.discard(task)
+        for end in (writer, onward[1]):
+            self._writers.discard(end)
+            end.close()
+
+    async def _pump(
+        self, way: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                await self._open[way].wait()
+                writer.write(data)
+                await writer.drain()
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,258 @@
+"""One seeded run: callers submit, faults strike in series that overlap, promises are checked."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from dalemast.http.client import HttpFailure
+from tests.fleet.base import HOST, PREFIX, STEP, make_text
+from tests.soak.cluster import Cluster, Program
+from tests.soak.proxy import Proxy
+
+RESEND_S = 1.3
+"""How long a caller waits before it sends a job again that was broken off."""
+TRIES = 4
+CALLER_TIMEOUT_S = 8.0
+CALM_S = 25.0
+"""Longest time after the last fault until every entry serves again."""
+CALLERS = 6
+
+
+@dataclass(kw_only=True)
+class Report:
+    """What a run saw. ``broken`` has a line for each promise that was broken."""
+
+    seed: int
+    jobs: int = 0
+    succeeded: int = 0
+    refused: int = 0
+    faults: list[str] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+
+    def __str__(self) -> str:
+        head = f"seed {self.seed}: {self.jobs} jobs, {self.succeeded} succeeded, "
+        head += f"{self.refused} refused, {len(self.faults)} faults"
+        return "\n".join([head, *(f"  BROKEN {line}" for line in self.broken)])
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, *, seed: int, folder: Path, entries: int, workers: int) -> None:
+        self._rng = random.Random(seed)
+        self._cluster = Cluster(folder=folder, entries=entries, workers=workers)
+        self._report = Report(seed=seed)
+        self._versions: dict[str, tuple[str, int]] = {}
+        self._is_over = False
+
+    async def play(self, *, seconds: float) -> Report:
+        """Play and return what was seen."""
+        cluster = self._cluster
+        await cluster.start()
+        try:
+            for worker in cluster.workers:
+                worker.on_start = self._check_alone
+            await self._wait_for_calm("at the start")
+            callers = [asyncio.create_task(self._call_forever(n)) for n in range(CALLERS)]
+            watch = asyncio.create_task(self._watch_versions())
+            await self._strike_for(seconds)
+            await self._wait_for_calm("after the faults")
+            self._is_over = True
+            await asyncio.gather(*callers)
+            watch.cancel()
+        finally:
+            await cluster.close()
+        return self._report
+
+    def _check_alone(self, task: str) -> None:
+        running = sum(task in worker.active_tasks for worker in self._cluster.workers)
+        if running > 1:
+            self._report.broken.append(f"two runs of {task} at the same time")
+
+    async def _call_forever(self, number: int) -> None:
+        count = 0
+        while not self._is_over:
+            count += 1
+            await self._run_job(f"{number:04x}{count:012x}")
+            await asyncio.sleep(self._rng.uniform(0.0, 0.1))
+
+    async def _run_job(self, job_id: str) -> None:
+        """Submit a job as a caller does: again after a while if it is broken off."""
+        tasks = self._rng.randint(1, 4)
+        body = {
+            "spec": make_text(self._rng.uniform(0.05, 0.8)),
+            "steps": [{**STEP, "count": tasks}],
+            "best_effort": True,
+        }
+        self._report.jobs += 1
+        statuses = []
+        for _ in range(TRIES):
+            status, state = await self._submit(job_id, body)
+            statuses.append(status)
+            if status not in (None, 502, 504):
+                break
+            await asyncio.sleep(RESEND_S)
+        self._judge(job_id, tasks, statuses, state)
+
+    async def _submit(self, job_id: str, body: Any) -> tuple[int | None, str]:
+        address = self._rng.choice(self._cluster.callers)
+        try:
+            response = await self._cluster.client.request(
+                "POST",
+                f"http://{address}{PREFIX}{job_id}",
+                body=body,
+                headers={"Host": HOST},
+                timeout_s=CALLER_TIMEOUT_S,
+            )
+        except HttpFailure:
+            # Also when the last connection was refused: the client sends a request again by itself
+            # when a kept connection breaks, so an earlier one may have been read.
+            return None, ""
+        return response.status, response.decode(dict[str, Any]).get("state", "")
+
+    def _judge(self, job_id: str, tasks: int, statuses: list[int | None], state: str) -> None:
+        workers = self._cluster.workers
+        names = [f"{job_id}.0.0.{position}" for position in range(tasks)]
+        if state == "succeeded":
+            self._report.succeeded += 1
+            missing = [name for name in names if not any(w.has_done(name) for w in workers)]
+            if missing:
+                self._report.broken.append(f"{job_id} succeeded without {missing}")
+        if all(status == 503 for status in statuses):
+            self._report.refused += 1
+            started = [row for w in workers for row in w.started if row[0] in names]
+            if started:
+                self._report.broken.append(f"{job_id} was refused as not run and ran: {started}")
+
+    async def _watch_versions(self) -> None:
+        """Check that within one life of an entry its configuration never goes back."""
+        while True:
+            for entry in self._cluster.entries:
+                state = await self._cluster.get_state(entry)
+                if state is None or state["configuration"] is None:
+                    continue
+                life, version = state["incarnation"], state["configuration"]
+                known_life, known = self._versions.get(entry.name, ("", 0))
+                if life == known_life and version < known:
+                    self._report.broken.append(f"{entry.name} went from {known} to {version}")
+                self._versions[entry.name] = (life, version)
+            await asyncio.sleep(0.2)
+
+    async def _strike_for(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + seconds
+        running: set[asyncio.Task[None]] = set()
+        while loop.time() < end_at:
+            fault = self._rng.choice(self._get_faults())
+            self._report.faults.append(fault.__name__)
+            task = asyncio.create_task(fault())  # type: ignore[arg-type]
+            running.add(task)
+            await asyncio.sleep(self._rng.uniform(0.1, 1.5))
+        await asyncio.gather(*running)
+
+    def _get_faults(self) -> list[Callable[[], Awaitable[None]]]:
+        return [
+            self._kill,
+            self._kill,
+            self._pause,
+            self._pause,
+            self._stop,
+            self._reload,
+            self._break_proxy,
+            self._break_proxy,
+            self._break_store,
+            self._break_worker,
+            self._crash_worker,
+            self._change_configuration,
+        ]
+
+    def _pick_program(self) -> Program:
+        return self._rng.choice([*self._cluster.entries, *self._cluster.agents])
+
+    async def _kill(self) -> None:
+        program = self._pick_program()
+        program.signal(signal.SIGKILL)
+        await program.wait()
+        await asyncio.sleep(self._rng.uniform(0.0, 1.5))
+        program.start()
+
+    async def _pause(self) -> None:
+        program = self._pick_program()
+        program.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(0.1, 3.0))
+        program.signal(signal.SIGCONT)
+
+    async def _stop(self) -> None:
+        program = self._pick_program()
+        program.signal(signal.SIGTERM)
+        program.signal(signal.SIGCONT)
+        await program.wait()
+        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+        program.start()
+
+    async def _reload(self) -> None:
+        self._pick_program().signal(signal.SIGHUP)
+
+    async def _break_proxy(self) -> None:
+        proxy: Proxy = self._rng.choice(self._cluster.proxies)
+        kind = self._rng.choice(["reset", "delay", "both", "up", "down"])
+        if kind == "reset":
+            proxy.reset()
+            return
+        if kind == "delay":
+            proxy.delay_s = self._rng.uniform(0.01, 0.3)
+        else:
+            proxy.silence(*(["up", "down"] if kind == "both" else [kind]))
+        await asyncio.sleep(self._rng.uniform(0.2, 3.0))
+        proxy.heal()
+
+    async def _break_store(self) -> None:
+        store = self._cluster.store
+        kind = self._rng.choice(["busy", "silent", "lost", "forget"])
+        if kind == "forget":
+            store.forget_history()
+            return
+        store.loses_answers = kind == "lost"
+        store.outage = kind if kind != "lost" else ""
+        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        store.loses_answers = False
+        store.outage = ""
+
+    async def _break_worker(self) -> None:
+        worker = self._rng.choice(self._cluster.workers)
+        fault = self._rng.choice(["fail", "stand_still", "late_orders", "slow"])
+        worker.set_faults(**{fault: 6.0 if fault == "slow" else self._rng.uniform(0.1, 1.0)})
+        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        worker.set_faults(**{fault: 1.0 if fault == "slow" else 0.0})
+
+    async def _crash_worker(self) -> None:
+        worker = self._rng.choice(self._cluster.workers)
+        await worker.crash()
+        await asyncio.sleep(self._rng.uniform(0.0, 1.5))
+        worker.start()
+
+    async def _change_configuration(self) -> None:
+        self._cluster.change_configuration()
+
+    async def _wait_for_calm(self, when: str) -> None:
+        """Wait until every entry has the newest version and a worker that takes tasks."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + CALM_S
+        laggards = [entry.name for entry in self._cluster.entries]
+        while laggards and loop.time() < give_up_at:
+            await asyncio.sleep(0.1)
+            laggards = [e.name for e in self._cluster.entries if not await self._serves(e)]
+        if laggards:
+            self._report.broken.append(f"{when} these did not serve again: {laggards}")
+
+    async def _serves(self, entry: Program) -> bool:
+        state = await self._cluster.get_state(entry)
+        if state is None or state["configuration"] != self._cluster.version:
+            return False
+        return any(worker["is_accepting"] for worker in state["workers"].values())
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,24 @@
+"""A short seeded run of the soak. ``make fleet-soak SEEDS=50`` plays many."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from tests.base import AsyncTestCase
+from tests.soak.run import Soak
+
+SEEDS = (1,)
+"""Seed 1 told a broken promise that was none: the soak's caller took a refused connection for a
+refusal by an entry, though its client had sent the request once before on a kept connection."""
+SECONDS = 6.0
+
+
+class SoakTests(AsyncTestCase):
+    def test_no_promise_is_broken_under_faults_in_series(self) -> None:
+        for seed in SEEDS:
+            with TemporaryDirectory() as folder:
+                soak = Soak(seed=seed, folder=Path(folder), entries=2, workers=2)
+                report = self.run_async(soak.play(seconds=SECONDS))
+                self.assertEqual([], report.broken, str(report))
+                self.assertGreater(report.succeeded, 0)
