Release a claim wherever it was asked for

Cause: while a peer is missing an entry asks all others for an id. If that time was over when the job ended, only its home was told, and the others kept the claim for good: memory grew, and the same id submitted again elsewhere would have waited 1.5 s for an owner that had long ended it.

Change: an entry remembers which peers it asked for an id, and tells all of them when it is released, also when the claim was not granted in the end.

Ruled out: lapse by the owner's loss, since the owner lives.

Test: test_every_peer_that_was_asked_for_an_id_is_told_of_its_end failed before and passes.

--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -109,6 +109,7 @@
         if refusal is not None:
             if self._open.get(request.id) is job:
                 del self._open[request.id]
+                self._release(request.id)
             job.resolve(refusal)
             return await job.answer
         if self._open.get(request.id) is not job:
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -107,6 +107,8 @@
         self._sessions: set[PeerSession] = set()
         self._numbers = itertools.count(1)
         self._asked: dict[int, asyncio.Future[ClaimAnswer]] = {}
+        self._asked_for: dict[str, set[str]] = {}
+        """By id of this entry's jobs, the peers that may keep its claim."""
         self._doubted_until = 0.0
         self._started_at = time.monotonic()
 
@@ -162,13 +164,10 @@
     def release(self, job_id: str) -> None:
         """Free an id of this entry."""
         self._claims.release(job_id, self._member.incarnation)
-        if self._is_doubtful():
-            for session in self._dialled.values():
+        for name in self._asked_for.pop(job_id, ()):
+            session = self._dialled.get(name)
+            if session is not None:
                 session.link.send(Release(job=job_id))
-            return
-        home = choose_home(job_id, [self._member.name, *self._dialled])
-        if home != self._member.name:
-            self._dialled[home].link.send(Release(job=job_id))
 
     def take(self, session: PeerSession, message: PeerMessage) -> None:
         """Take in one message."""
@@ -275,7 +274,7 @@
             if home == self._member.name:
                 self._claims.claim(job_id, self._member.incarnation, now=time.monotonic())
             else:
-                self._dialled[home].link.send(Claim(number=0, job=job_id))
+                self._send_claim(self._dialled[home], job_id, number=0)
 
     def _is_doubtful(self) -> bool:
         return time.monotonic() < self._doubted_until
@@ -293,7 +292,7 @@
         number = next(self._numbers)
         future: asyncio.Future[ClaimAnswer] = asyncio.get_running_loop().create_future()
         self._asked[number] = future
-        session.link.send(Claim(number=number, job=job_id))
+        self._send_claim(session, job_id, number=number)
         try:
             return await asyncio.wait_for(future, CLAIM_TIMEOUT_S)
         except TimeoutError:
@@ -303,6 +302,11 @@
         finally:
             self._asked.pop(number, None)
 
+    def _send_claim(self, session: PeerSession, job_id: str, *, number: int) -> None:
+        if session.member is not None:
+            self._asked_for.setdefault(job_id, set()).add(session.member.name)
+        session.link.send(Claim(number=number, job=job_id))
+
     def _claim_here(self, job_id: str, owner: str) -> Granted | Held:
         now = time.monotonic()
         if owner != self._member.incarnation and self._jobs.has_open(job_id):
--- a/tests/fleet/test_path.py
+++ b/tests/fleet/test_path.py
@@ -140,6 +140,19 @@
 
         self.run_async(scenario())
 
+    def test_every_peer_that_was_asked_for_an_id_is_told_of_its_end(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=3, workers=1) as fleet:
+                peers = fleet.entries[0]._peers
+                peers._doubted_until = float("inf")  # as after a peer was lost: all are asked
+                job = asyncio.ensure_future(fleet.submit(JOB, text=make_text(0.4)))
+                await wait_until(lambda: len(fleet.get_running(JOB)) == 1)
+                peers._doubted_until = 0.0
+                self.assertEqual(200, (await job).status)
+                await wait_until(lambda: not any(e.get_state()["claims"] for e in fleet.entries))
+
+        self.run_async(scenario())
+
     def test_a_second_submission_at_the_same_entry_joins_the_first(self) -> None:
         async def scenario() -> None:
             async with LocalFleet(entries=1, workers=1) as fleet:
