Give the fleet's two processes a common base class

Cause: the processes of entries and agents each made their times, metrics listener, list of tasks and store, and each had its own reload, ticking loop and handling of a pause.

Change: BaseFleetProcess in dalemast/fleet/process.py has these once; a role says what a tick does, what it gives up after a pause, and which parts it closes. The watch on pauses is still made by each role after its parts are loaded, so that loading does not count as a pause.

Behaviour is unchanged but for one order: an agent now cancels its tasks before it stops its links, with no wait between the two, as before.

--- a/dalemast/fleet/agent/process.py
+++ b/dalemast/fleet/agent/process.py
@@ -9,42 +9,33 @@
 from dalemast.fleet.agent.owners import OwnerLinks
 from dalemast.fleet.agent.worker import WorkerLoop
 from dalemast.fleet.backends import load_backend
-from dalemast.fleet.base import BaseMemberStore, BaseRegistration, BaseWorkerDriver
+from dalemast.fleet.base import BaseRegistration, BaseWorkerDriver
 from dalemast.fleet.book import AddressBook
-from dalemast.fleet.operators import MetricsListener
 from dalemast.fleet.pauses import PauseWatch
-from dalemast.fleet.timing import FleetTimes
-from dalemast.observability import Metrics, log_event
-from dalemast.process import BaseProcess, make_incarnation
+from dalemast.fleet.process import TICK_S, BaseFleetProcess
+from dalemast.observability import log_event
+from dalemast.process import make_incarnation
 from dalemast.settings import FleetAgentSettings
 
 __all__ = ["FleetAgentProcess"]
 
-TICK_S = 0.05
-"""The grain of time-outs; the shortest, a beat, is 0.12 s."""
 SEEDS_PATIENCE_S = 2.0
 """How long the seeds are tried before the store is read for other entries."""
 STORE_RETRY_S = 3.0
 """Pause between two such readings; each is priced."""
 
 
-class FleetAgentProcess(BaseProcess):
+class FleetAgentProcess(BaseFleetProcess):
     """An agent on a platform with leased workers."""
 
+    _settings: FleetAgentSettings
+
     def __init__(self, *, settings: FleetAgentSettings) -> None:
-        self._settings = settings
-        self._times = FleetTimes.fit(
-            resend_s=settings.resend_ms / 1000,
-            lease_max_s=settings.lease_max_ms / 1000,
-            stop_s=settings.stop_ms / 1000,
-        )
-        self._metrics = Metrics()
-        self._book = AddressBook()
+        super().__init__(settings=settings, book=AddressBook())
         limits = SupervisorLimits(
             owner_patience_s=self._times.owner_patience_s, stop_s=self._times.stop_s
         )
         self._supervisor = Supervisor(limits=limits)
-        self._store: BaseMemberStore = load_backend(settings.backends.store, settings=settings)
         driver: BaseWorkerDriver = load_backend(
             settings.backends.worker, settings=settings, lease_s=self._times.lease_s
         )
@@ -65,24 +56,15 @@
             settings.backends.registration, settings=settings, observer=self._worker
         )
         self._pauses = PauseWatch(limit_s=self._times.owner_patience_s)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._was_accepting = False
 
     async def start(self) -> None:
         """Listen to the worker, dial the entries."""
         self._registration.start()
-        self._metrics_listener = MetricsListener(
-            address=self._settings.metrics.address,
-            metrics=self._metrics,
-            get_state=self.get_state,
-        )
-        self._metrics_listener.start()
+        self._start_metrics()
         self._owners.dial_all()
         self._book.add_addresses(self._settings.seeds)
-        self._tasks = [
-            asyncio.create_task(self._worker.run()),
-            asyncio.create_task(self._tick_forever()),
-            asyncio.create_task(self._find_entries()),
-        ]
+        self._start_tasks(self._worker.run(), self._tick_forever(), self._find_entries())
         log_event("process:started", seeds=self._settings.seeds)
 
     async def drain(self) -> None:
@@ -98,19 +80,6 @@
         """Return the runs that ending now would cut off."""
         return [f"run {run_id}" for run_id in self._supervisor.runs]
 
-    async def close(self) -> None:
-        """End every task and socket."""
-        self._owners.stop_all()
-        for task in self._tasks:
-            task.cancel()
-        await self._registration.close()
-        await self._metrics_listener.close()
-
-    def reload(self, settings: FleetAgentSettings) -> None:
-        """Take new seeds; addresses and names can't change while the process lives."""
-        log_event("process:reloaded", seeds=settings.seeds)
-        self._book.add_addresses(settings.seeds)
-
     def get_state(self) -> dict[str, object]:
         """Return the dump."""
         life = self._supervisor.life
@@ -124,27 +93,23 @@
             "entries": len(self._owners),
         }
 
-    def _check_pause(self) -> bool:
-        """Drop all links if this process stood still: what waited there may be out of date."""
-        paused_s = self._pauses.check()
-        if not paused_s:
-            return False
-        log_event("process:stood-still", seconds=round(paused_s, 3))
+    async def _close_parts(self) -> None:
+        self._owners.stop_all()
+        await self._registration.close()
+
+    def _recover_from_pause(self) -> None:
+        """Drop all links: what waited there may be out of date."""
         self._owners.reset_all()
-        return True
 
-    async def _tick_forever(self) -> None:
-        was_accepting = False
-        while True:
-            await asyncio.sleep(TICK_S)
-            self._check_pause()
-            now = time.monotonic()
-            self._worker.tick(now)
-            is_accepting = self._supervisor.is_accepting(now=now)
-            if is_accepting != was_accepting:
-                was_accepting = is_accepting
-                self._owners.mark_room()
-            self._owners.tick(now)
+    def _tick(self) -> None:
+        self._check_pause()
+        now = time.monotonic()
+        self._worker.tick(now)
+        is_accepting = self._supervisor.is_accepting(now=now)
+        if is_accepting != self._was_accepting:
+            self._was_accepting = is_accepting
+            self._owners.mark_room()
+        self._owners.tick(now)
 
     async def _find_entries(self) -> None:
         """Read the store for entries while none is in reach."""
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -14,7 +14,6 @@
 from dalemast.fleet.backends import load_backend
 from dalemast.fleet.base import (
     BaseIngress,
-    BaseMemberStore,
     Configuration,
     JobOutcome,
     JobTurnedAway,
@@ -27,43 +26,35 @@
 from dalemast.fleet.entry.peers import PeerLinks
 from dalemast.fleet.frames import AgentMessage, PeerMessage
 from dalemast.fleet.links import LinkHandler
-from dalemast.fleet.operators import MetricsListener
 from dalemast.fleet.paths import AGENTS_PATH, PEERS_PATH
 from dalemast.fleet.pauses import PauseWatch
-from dalemast.fleet.timing import FleetTimes
+from dalemast.fleet.process import TICK_S, BaseFleetProcess
 from dalemast.http.server import Listener
-from dalemast.observability import Metrics, log_event
-from dalemast.process import BaseProcess, make_incarnation
+from dalemast.observability import log_event
+from dalemast.process import make_incarnation
 from dalemast.settings import FleetEntrySettings, ListenerSettings
 
 __all__ = ["FleetEntryProcess"]
 
-TICK_S = 0.05
-"""The grain of time-outs; the shortest, a beat, is 0.12 s."""
 ACCEPT_WHILE_DRAINING_S = 2.0
 """How long after a planned stop begins jobs are still taken on open connections."""
 MIN_DRAIN_S = 0.3
 """Callers' requests under way when the stop begins arrive within this time."""
 
 
-class FleetEntryProcess(BaseProcess):
+class FleetEntryProcess(BaseFleetProcess):
     """An entry on a platform with leased workers."""
 
+    _settings: FleetEntrySettings
+
     def __init__(self, *, settings: FleetEntrySettings) -> None:
-        self._settings = settings
-        self._times = FleetTimes.fit(
-            resend_s=settings.resend_ms / 1000,
-            lease_max_s=settings.lease_max_ms / 1000,
-            stop_s=settings.stop_ms / 1000,
-        )
-        self._metrics = Metrics()
         self._member = Member(
             name=settings.name,
             incarnation=make_incarnation(),
             address=settings.advertised or settings.links.address,
             data_centre=settings.data_centre,
         )
-        self._book = AddressBook(own_address=self._member.address)
+        super().__init__(settings=settings, book=AddressBook(own_address=self._member.address))
         self._configuration = ConfigurationInForce()
         self._scheduler = Scheduler(
             order=load_backend(settings.order),
@@ -94,12 +85,10 @@
             tell_agents=self._agents.tell_members,
         )
         self._desk.set_claims(self._peers)
-        self._store: BaseMemberStore = load_backend(settings.backends.store, settings=settings)
         self._ingress: BaseIngress = load_backend(
             settings.backends.ingress, settings=settings, jobs=self
         )
         self._pauses = PauseWatch(limit_s=self._times.silence_s)
-        self._tasks: list[asyncio.Task[None]] = []
         self._draining_since: float | None = None
 
     @property
@@ -149,20 +138,15 @@
         )
         self._listener.start()
         self._ingress.start()
-        self._metrics_listener = MetricsListener(
-            address=self._settings.metrics.address,
-            metrics=self._metrics,
-            get_state=self.get_state,
-        )
-        self._metrics_listener.start()
+        self._start_metrics()
         self._book.add_addresses(self._settings.seeds)
         self._peers.start()
-        self._tasks = [
-            asyncio.create_task(self._tick_forever()),
-            asyncio.create_task(self._store.announce(self._member)),
-            asyncio.create_task(self._store.watch_members(self._learn_member)),
-            asyncio.create_task(self._store.watch_configuration(self._take_configuration)),
-        ]
+        self._start_tasks(
+            self._tick_forever(),
+            self._store.announce(self._member),
+            self._store.watch_members(self._learn_member),
+            self._store.watch_configuration(self._take_configuration),
+        )
         log_event(
             "process:started", incarnation=self._member.incarnation, seeds=self._settings.seeds
         )
@@ -186,20 +170,6 @@
         """Return the jobs that ending now would cut off."""
         return [f"job {job_id}" for job_id in self._desk.get_open_ids()]
 
-    async def close(self) -> None:
-        """End every task and socket."""
-        for task in self._tasks:
-            task.cancel()
-        self._peers.stop()
-        await self._ingress.close()
-        await self._listener.close()
-        await self._metrics_listener.close()
-
-    def reload(self, settings: FleetEntrySettings) -> None:
-        """Take new seeds; addresses and names can't change while the process lives."""
-        log_event("process:reloaded", seeds=settings.seeds)
-        self._book.add_addresses(settings.seeds)
-
     def get_state(self) -> dict[str, object]:
         """Return the dump."""
         current = self._configuration.current
@@ -228,14 +198,18 @@
         if member.incarnation != self._member.incarnation:
             self._peers.learn([member])
 
-    async def _tick_forever(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            paused_s = self._pauses.check()
-            now = time.monotonic()
-            if paused_s:
-                log_event("process:stood-still", seconds=round(paused_s, 3))
-                self._desk.abandon_begun(now)
-            self._agents.tick(now)
-            self._peers.tick(now)
-            self._desk.tick(now)
+    async def _close_parts(self) -> None:
+        self._peers.stop()
+        await self._ingress.close()
+        await self._listener.close()
+
+    def _recover_from_pause(self) -> None:
+        """Give up the jobs that have begun: their runs may have lapsed meanwhile."""
+        self._desk.abandon_begun(time.monotonic())
+
+    def _tick(self) -> None:
+        self._check_pause()
+        now = time.monotonic()
+        self._agents.tick(now)
+        self._peers.tick(now)
+        self._desk.tick(now)
--- /dev/null
+++ b/dalemast/fleet/process.py
@@ -0,0 +1,97 @@
+"""What the processes of entries and agents have in common."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from dalemast.fleet.backends import load_backend
+from dalemast.fleet.base import BaseMemberStore
+from dalemast.fleet.book import AddressBook
+from dalemast.fleet.operators import MetricsListener
+from dalemast.fleet.pauses import PauseWatch
+from dalemast.fleet.timing import FleetTimes
+from dalemast.observability import Metrics, log_event
+from dalemast.process import BaseProcess
+from dalemast.settings import FleetSettings
+
+__all__ = ["TICK_S", "BaseFleetProcess"]
+
+TICK_S = 0.05
+"""The grain of time-outs; the shortest, a beat, is 0.12 s."""
+
+
+class BaseFleetProcess(BaseProcess):
+    """A role of the fleet: its times, its metrics, the platform's store, and a ticking clock."""
+
+    _pauses: PauseWatch
+    """Made by the role once its parts are loaded, since loading them must not count as a pause."""
+
+    def __init__(self, *, settings: FleetSettings, book: AddressBook) -> None:
+        self._settings = settings
+        self._book = book
+        self._times = FleetTimes.fit(
+            resend_s=settings.resend_ms / 1000,
+            lease_max_s=settings.lease_max_ms / 1000,
+            stop_s=settings.stop_ms / 1000,
+        )
+        self._metrics = Metrics()
+        self._store: BaseMemberStore = load_backend(settings.backends.store, settings=settings)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def close(self) -> None:
+        """End every task and socket."""
+        for task in self._tasks:
+            task.cancel()
+        await self._close_parts()
+        await self._metrics_listener.close()
+
+    def reload(self, settings: FleetSettings) -> None:
+        """Take new seeds; addresses and names can't change while the process lives."""
+        log_event("process:reloaded", seeds=settings.seeds)
+        self._book.add_addresses(settings.seeds)
+
+    @abc.abstractmethod
+    def get_state(self) -> dict[str, object]:
+        """Return the dump."""
+
+    @abc.abstractmethod
+    def _tick(self) -> None:
+        """Let time-outs pass; called every :data:`TICK_S`."""
+
+    @abc.abstractmethod
+    def _recover_from_pause(self) -> None:
+        """Give up what may be out of date after this process stood still."""
+
+    @abc.abstractmethod
+    async def _close_parts(self) -> None:
+        """End the role's own links and listeners."""
+
+    def _start_metrics(self) -> None:
+        """Listen to operators."""
+        self._metrics_listener = MetricsListener(
+            address=self._settings.metrics.address,
+            metrics=self._metrics,
+            get_state=self.get_state,
+        )
+        self._metrics_listener.start()
+
+    def _start_tasks(self, *coroutines: Coroutine[Any, Any, None]) -> None:
+        """Run these until the process closes."""
+        self._tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+
+    def _check_pause(self) -> bool:
+        """Recover if this process stood still; return whether it did."""
+        paused_s = self._pauses.check()
+        if not paused_s:
+            return False
+        log_event("process:stood-still", seconds=round(paused_s, 3))
+        self._recover_from_pause()
+        return True
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._tick()
