Split slow runs, the choice of worker and hopeless jobs from the scheduler

Change: paces.py judges slow runs, choices.py chooses a worker, and hopeless.py knows the workers ever seen and tells hopeless jobs; each has its named constants. The bound of 0.001 s on expected times and the mean of ended siblings, which stood twice, are now named and stand once, and so does the test of a worker's service and label. scheduler.py shrinks from 478 to 368 lines; the public names stay.

Tests run: tests/core, tests/fleet, tests/platform, tests/management and tests/observability, one run beside a busy machine; all passed but two of tests/fleet/test_path.py, test_an_agent_that_stops_finishes_its_runs and test_an_entry_that_stops_finishes_its_jobs: both waited in vain for the fleet to be ready. The cause is not traced.

--- /dev/null
+++ b/dalemast/core/scheduling/paces.py
@@ -0,0 +1,67 @@
+"""The judgement of slow runs: how slow one is, and whether moving it gains time."""
+
+from __future__ import annotations
+
+from dalemast.core.scheduling.jobs import Job, Task
+from dalemast.core.scheduling.workers import SlowRun, WorkerView
+
+__all__ = ["PACE_WEIGHT", "SLOW_PACE", "compare_run", "is_move_worth_while", "judge_pace"]
+
+SLOW_PACE = 2.2
+"""From which pace a run counts as slow: workers differ by 1.25, tasks of a step by 15 %, and racks
+without the data by 1.5, so a sound run stays below."""
+PACE_WEIGHT = 0.4
+"""How much one report of a slow run says of its worker: after three it is avoided."""
+LONGEST_UNPROVED = 1.5
+"""Bound on what a single run without ended siblings says of its worker."""
+MIN_SIBLINGS = 2
+"""Ended tasks of a step that are enough to judge the others by."""
+MOVE_GAIN = 1.3
+"""How much longer the rest of a slow run must be than a new run elsewhere before it is moved."""
+STOP_COST_S = 0.06
+"""What moving a task costs beside running it again: a stop of up to 50 ms and two messages."""
+SHORTEST_S = 0.001
+"""Expected times below this are taken as this long, so that no ratio is unbounded."""
+
+
+def judge_pace(job: Job, task: Task, report: SlowRun) -> float:
+    """Return how many times as long as elsewhere the run takes, by the best evidence.
+
+    A declared time says little of one run, since it may simply be a long one. Tasks of the same
+    step that have ended say much: they differ by about 15 %.
+    """
+    if report.is_stalled:
+        return max(_get_ratio(report.total_s, task.expected_s), SLOW_PACE)
+    sibling_s = _get_sibling_s(job, task)
+    if sibling_s is None:
+        return report.worker_pace
+    return _get_ratio(report.total_s, sibling_s)
+
+
+def compare_run(job: Job, task: Task, run_s: float) -> float:
+    """Return an ended run's time over what it takes elsewhere, by ended tasks of its step.
+
+    Without them it is compared with the expected time and bounded: it may be a long job.
+    """
+    sibling_s = _get_sibling_s(job, task)
+    if sibling_s is None:
+        return min(_get_ratio(run_s, task.expected_s), LONGEST_UNPROVED)
+    return _get_ratio(run_s, sibling_s)
+
+
+def is_move_worth_while(report: SlowRun, *, pace: float, elsewhere: WorkerView, now: float) -> bool:
+    """Tell whether a new run on another worker would end well before this one."""
+    new_run_s = report.total_s / pace * elsewhere.get_slowness(now) + STOP_COST_S
+    return report.total_s - report.age_s >= MOVE_GAIN * new_run_s
+
+
+def _get_sibling_s(job: Job, task: Task) -> float | None:
+    """Return the mean run time of the step's ended tasks, or None if there are too few."""
+    ended = job.run_times.get(task.key.step, ())
+    if len(ended) < MIN_SIBLINGS:
+        return None
+    return sum(ended) / len(ended)
+
+
+def _get_ratio(actual_s: float, usual_s: float) -> float:
+    return actual_s / max(usual_s, SHORTEST_S)
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -22,10 +22,19 @@
     StopTask,
 )
 from dalemast.core.scheduling.base import BaseOrder, BasePlacement
+from dalemast.core.scheduling.choices import WorkerChoice
 from dalemast.core.scheduling.estimates import RunTimes
+from dalemast.core.scheduling.hopeless import SeenWorkers
 from dalemast.core.scheduling.jobs import ON_WORKER, Job, Task, TaskPhase
+from dalemast.core.scheduling.paces import (
+    PACE_WEIGHT,
+    SLOW_PACE,
+    compare_run,
+    is_move_worth_while,
+    judge_pace,
+)
 from dalemast.core.scheduling.workers import RoomReport, SlowRun, WorkerView
-from dalemast.core.workloads import JobRequest, Resources, StepRequest, TaskKey
+from dalemast.core.workloads import JobRequest, TaskKey
 
 __all__ = ["Scheduler", "SchedulerLimits"]
 
@@ -34,25 +43,6 @@
 it a refusal helps nobody any more."""
 RETRY_AFTER_S = (0.2, 5.0)
 """Bounds on when a refused caller is told to come back."""
-HOPELESS_AFTER_S = 8.0
-"""How long an owner listens to workers before it calls a job hopeless: heartbeats come every
-1.5 s and agents find a new owner within about a second."""
-STOP_COST_S = 0.06
-"""What moving a task costs beside running it again: a stop of up to 50 ms and two messages."""
-SLOW_PACE = 2.2
-"""From which pace a run counts as slow: workers differ by 1.25, tasks of a step by 15 %, and racks
-without the data by 1.5, so a sound run stays below."""
-PACE_WEIGHT = 0.4
-"""How much one report of a slow run says of its worker: after three it is avoided."""
-TOO_SLOW = 2.0
-"""How many times slower than the best a worker may be before it gets no tasks: most would be late
-there, since objectives are 1.6 times the usual run time and a little more."""
-LONGEST_UNPROVED = 1.5
-"""Bound on what a single run without ended siblings says of its worker."""
-MIN_SIBLINGS = 2
-"""Ended tasks of a step that are enough to judge the others by."""
-MOVE_GAIN = 1.3
-"""How much longer the rest of a slow run must be than a new run elsewhere before it is moved."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,15 +64,14 @@
         started_at: float,
     ) -> None:
         self._order = order
-        self._placement = placement
         self._limits = limits
-        self._started_at = started_at
         self._run_times = RunTimes()
         self._jobs: dict[str, Job] = {}
         self._least_waiting_cpu = 0
         """A report of less room than this changes nothing for the tasks that wait."""
         self._workers: dict[str, WorkerView] = {}
-        self._seen: dict[str, set[tuple[Resources, frozenset[str]]]] = {}
+        self._choice = WorkerChoice(placement=placement, workers=self._workers)
+        self._seen = SeenWorkers(started_at=started_at)
 
     @property
     def workers(self) -> dict[str, WorkerView]:
@@ -100,7 +89,7 @@
         objective_s = request.queue.get_objective_s(chain_s)
         job = Job(request=request, arrived_at=now, objective_s=objective_s, chain_s=chain_s)
         self._jobs[request.id] = job
-        if self._is_hopeless(job, now):
+        if self._seen.is_hopeless(request, now=now):
             return [self._finish(job, JobState.FAILED, "no worker can ever hold it", now)]
         return self.dispatch(now=now)
 
@@ -112,7 +101,7 @@
     def add_worker(self, view: WorkerView) -> None:
         """Take in a worker that its agent announced."""
         self._workers[view.name] = view
-        self._seen.setdefault(view.service, set()).add((view.capacity, view.labels))
+        self._seen.add(view)
 
     def update_worker(self, name: str, report: RoomReport, *, now: float) -> list[Action]:
         """Take in an agent's report on its worker."""
@@ -191,39 +180,20 @@
             return []
         if task.run != run or task.phase is not TaskPhase.PLACED:
             return []
-        pace = self._judge_pace(job, task, report)
+        pace = judge_pace(job, task, report)
         if pace < SLOW_PACE:
             return []
         view.learn_slowness(pace, now=now, weight=PACE_WEIGHT)
-        if not report.is_stalled and not self._is_move_worth_while(job, task, report, pace, now):
-            return []
+        if not report.is_stalled:
+            elsewhere = self._choice.choose(job, task, now=now)
+            if elsewhere is None or elsewhere.name == task.worker:
+                return []
+            if not is_move_worth_while(report, pace=pace, elsewhere=elsewhere, now=now):
+                return []
         task.phase = TaskPhase.STOPPING
         task.avoided.add(name)
         return [StopTask(worker=name, job_id=job_id, task=key, run=run)]
 
-    def _is_move_worth_while(
-        self, job: Job, task: Task, report: SlowRun, pace: float, now: float
-    ) -> bool:
-        """Tell whether a new run elsewhere would end well before this one."""
-        elsewhere = self._choose(job, task, now)
-        if elsewhere is None or elsewhere.name == task.worker:
-            return False
-        new_run_s = report.total_s / pace * elsewhere.get_slowness(now) + STOP_COST_S
-        return report.total_s - report.age_s >= MOVE_GAIN * new_run_s
-
-    def _judge_pace(self, job: Job, task: Task, report: SlowRun) -> float:
-        """Return how many times as long as elsewhere the run takes, by the best evidence.
-
-        A declared time says little of one run, since it may simply be a long one. Tasks of the same
-        step that have ended say much: they differ by about 15 %.
-        """
-        if report.is_stalled:
-            return max(report.total_s / max(task.expected_s, 0.001), SLOW_PACE)
-        ended = job.run_times.get(task.key.step, ())
-        if len(ended) >= MIN_SIBLINGS:
-            return report.total_s / max(sum(ended) / len(ended), 0.001)
-        return report.worker_pace
-
     def tick(self, *, now: float) -> list[Action]:
         """Free lost runs whose time is over, refuse what waited too long, place the rest."""
         for job in self._jobs.values():
@@ -248,7 +218,8 @@
         self._least_waiting_cpu = 0
         if not waiting:
             return []
-        most_free = self._get_most_free()
+        # Most calls come while all workers are full, and start nothing.
+        most_free = self._choice.get_most_free()
         waiting.sort(key=lambda job: self._order.get_key(job, now=now))
         actions: list[Action] = []
         for job in waiting:
@@ -256,25 +227,14 @@
             for task in list(job.waiting):
                 if task.step.resources.cpu > most_free.get(service, -1):
                     break
-                view = self._choose(job, task, now)
+                view = self._choice.choose(job, task, now=now)
                 if view is not None:
                     actions.append(self._start(job, task, view, now))
-                    most_free = self._get_most_free()
+                    most_free = self._choice.get_most_free()
         left = (task.step.resources.cpu for job in waiting for task in job.waiting)
         self._least_waiting_cpu = min(left, default=0)
         return actions
 
-    def _get_most_free(self) -> dict[str, int]:
-        """Return the most processors that are free on one worker, by service.
-
-        Most calls come while all workers are full, and end here.
-        """
-        most: dict[str, int] = {}
-        for view in self._workers.values():
-            if view.is_accepting:
-                most[view.service] = max(most.get(view.service, -1), view.free.cpu)
-        return most
-
     def _start(self, job: Job, task: Task, view: WorkerView, now: float) -> StartTask:
         queue = job.request.queue
         expected_s = self._run_times.expect(queue=queue.name, declared_s=task.step.estimate_s)
@@ -289,54 +249,11 @@
             number=number,
         )
 
-    def _choose(self, job: Job, task: Task, now: float) -> WorkerView | None:
-        fitting = [view for view in self._workers.values() if self._can_take(job, task, view)]
-        workers = self._pick_quick(fitting, now)
-        if task.avoided and self._has_alternative(job, task):
-            # A task has few attempts: it waits for another worker to have room rather than fail
-            # on the same one again.
-            workers = [view for view in workers if view.name not in task.avoided]
-        return self._placement.choose(job=job, step=task.step, workers=workers, now=now)
-
-    def _has_alternative(self, job: Job, task: Task) -> bool:
-        """Tell whether a worker could take a task, with room or without, that did not fail it."""
-        return any(
-            view.is_accepting
-            and view.name not in task.avoided
-            and view.service == job.request.queue.service
-            and (not task.step.label or task.step.label in view.labels)
-            and task.step.resources.fits(view.capacity)
-            for view in self._workers.values()
-        )
-
-    def _pick_quick(self, fitting: list[WorkerView], now: float) -> list[WorkerView]:
-        """Leave out workers on which tasks would be late, compared with the best of the service.
-
-        Compared, since declared times that are off for all alike make all workers look slow.
-        """
-        if not fitting:
-            return fitting
-        service = fitting[0].service
-        pool = (view for view in self._workers.values() if view.service == service)
-        best = min(view.get_slowness(now) for view in pool)
-        return [view for view in fitting if view.get_slowness(now) < TOO_SLOW * best]
-
-    def _can_take(self, job: Job, task: Task, view: WorkerView) -> bool:
-        step = task.step
-        if not view.is_accepting or view.service != job.request.queue.service:
-            return False
-        if step.label and step.label not in view.labels:
-            return False
-        if not step.resources.fits(view.free):
-            return False
-        limit = step.max_per_worker
-        return not limit or job.count_on(view.name, task.key.step) < limit
-
     def _end_well(self, job: Job, task: Task, run_s: float, now: float) -> list[Action]:
         view = self._workers.get(task.worker)
         slowness = 1.0
         if view is not None:
-            view.learn_slowness(_compare_run(job, task, run_s), now=now)
+            view.learn_slowness(compare_run(job, task, run_s), now=now)
             slowness = view.get_slowness(now)
         self._run_times.learn(
             queue=job.request.queue.name,
@@ -449,30 +366,3 @@
             )
             ends.append(begin + expected_s)
         return max(ends, default=0.0)
-
-    def _is_hopeless(self, job: Job, now: float) -> bool:
-        """Tell whether no worker that was ever seen could hold one of the job's tasks."""
-        if now - self._started_at < HOPELESS_AFTER_S:
-            return False
-        seen = self._seen.get(job.request.queue.service)
-        if not seen:
-            return False
-        return not all(_can_be_held(step, seen) for step in job.request.steps)
-
-
-def _compare_run(job: Job, task: Task, run_s: float) -> float:
-    """Return a run's time over what it takes elsewhere, by tasks of its step that have ended.
-
-    Without them it is compared with the expected time and bounded: it may be a long job.
-    """
-    ended = job.run_times.get(task.key.step, ())
-    if len(ended) >= MIN_SIBLINGS:
-        return run_s / max(sum(ended) / len(ended), 0.001)
-    return min(run_s / max(task.expected_s, 0.001), LONGEST_UNPROVED)
-
-
-def _can_be_held(step: StepRequest, seen: set[tuple[Resources, frozenset[str]]]) -> bool:
-    return any(
-        step.resources.fits(capacity) and (not step.label or step.label in labels)
-        for capacity, labels in seen
-    )
