Bind addresses in one place; drop an argument that nothing read

Cause: the listener, the adapter's ingress and registration, and the emulated store and worker each took an address apart and bound it, and each had its own way to log no line for each request. JobHandler was given the ingress and never used it.

Change: bind_address and log_nothing in dalemast/http/server.py; the lengths of the queues of new connections are named constants with the values they had (1024, 64, and Tornado's default of 128). JobHandler takes no ingress.

Behaviour is unchanged, except that the adapter's and the emulator's addresses may now be IPv6 numbers in brackets, as the listener's already could.

--- a/dalemast/emulator/store.py
+++ b/dalemast/emulator/store.py
@@ -8,9 +8,9 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from dalemast.http.server import bind_address, log_nothing
 from dalemast.platform.wire import FeedAnswer, RowBody, RowsAnswer
 
 __all__ = ["EmulatedStore"]
@@ -81,10 +81,8 @@
     def start(self) -> None:
         """Listen."""
         routes = [("/v1/rows-(get|feed|tx)", RowsHandler, {"store": self})]
-        self._server = HTTPServer(Application(routes, log_function=lambda handler: None))
-        host, _, port = self._address.rpartition(":")
-        sockets = bind_sockets(int(port), host)
-        self._address = f"{host}:{sockets[0].getsockname()[1]}"
+        self._server = HTTPServer(Application(routes, log_function=log_nothing))
+        sockets, self._address = bind_address(self._address)
         self._server.add_sockets(sockets)
 
     async def close(self) -> None:
--- a/dalemast/emulator/worker.py
+++ b/dalemast/emulator/worker.py
@@ -11,11 +11,11 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 from dalemast.emulator.runs import EmulatedRuns, Order
 from dalemast.http.client import HttpFailure, JsonClient
+from dalemast.http.server import bind_address, log_nothing
 from dalemast.platform.wire import (
     EXPECTED_LIFE_HEADER,
     CapacityBody,
@@ -120,10 +120,8 @@
             (STOP_PATH, CallHandler, {"worker": self, "serve": self._stop_run}),
             (LOOK_PATH, CallHandler, {"worker": self, "serve": self._hold}),
         ]
-        self._server = HTTPServer(Application(routes, log_function=lambda handler: None))
-        host, _, port = self._address.rpartition(":")
-        sockets = bind_sockets(int(port), host)
-        self._address = f"{host}:{sockets[0].getsockname()[1]}"
+        self._server = HTTPServer(Application(routes, log_function=log_nothing))
+        sockets, self._address = bind_address(self._address)
         self._server.add_sockets(sockets)
         self._spawn(self._beat_forever())
 
--- a/dalemast/http/server.py
+++ b/dalemast/http/server.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+import socket
 import ssl
-from collections.abc import Callable
 from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
-from tornado.web import Application
+from tornado.web import Application, RequestHandler
 
 from dalemast.http.base import NotFoundHandler
 from dalemast.settings import ListenerSettings
 
-__all__ = ["Listener"]
+__all__ = ["BACKLOG", "Listener", "bind_address", "log_nothing"]
+
+BACKLOG = 1024
+"""Connections that may wait to be accepted on an address where many clients connect at once."""
+DEFAULT_BACKLOG = 128
+"""The same on other addresses; Tornado's own default."""
 
 Route = tuple[str, type, dict[str, Any]]
 
@@ -29,13 +34,11 @@
         max_body_bytes: int = 8 * 1024 * 1024,
         websocket_ping_s: float | None = None,
     ) -> None:
-        host, _, port = settings.address.rpartition(":")
-        self._sockets = bind_sockets(int(port), host.strip("[]"), backlog=1024)
-        self._host = host
+        self._sockets, self._address = bind_address(settings.address, backlog=BACKLOG)
         self._application = Application(
             routes,  # type: ignore[arg-type]
             default_handler_class=NotFoundHandler,
-            log_function=_get_silence(),
+            log_function=log_nothing,
             websocket_ping_interval=websocket_ping_s,
             websocket_max_message_size=max_body_bytes,
         )
@@ -49,7 +52,7 @@
     @property
     def address(self) -> str:
         """The address in use, with the port that the system chose."""
-        return f"{self._host}:{self._sockets[0].getsockname()[1]}"
+        return self._address
 
     def add_routes(self, routes: list[Route]) -> None:
         """Add routes that could not be made before the address was known."""
@@ -69,8 +72,20 @@
         await self._server.close_all_connections()
 
 
-def _get_silence() -> Callable[[Any], None]:
-    return lambda handler: None
+def bind_address(
+    address: str, *, backlog: int = DEFAULT_BACKLOG
+) -> tuple[list[socket.socket], str]:
+    """Bind sockets to a host and port; return them and the address in use.
+
+    The address in use has the port that the system chose when the port asked for is 0.
+    """
+    host, _, port = address.rpartition(":")
+    sockets = bind_sockets(int(port), host.strip("[]"), backlog=backlog)
+    return sockets, f"{host}:{sockets[0].getsockname()[1]}"
+
+
+def log_nothing(handler: RequestHandler) -> None:
+    """Log no line for each request: requests are logged where they are decided on."""
 
 
 def _get_ssl(settings: ListenerSettings) -> ssl.SSLContext | None:
--- a/dalemast/platform/ingress.py
+++ b/dalemast/platform/ingress.py
@@ -7,7 +7,6 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 from dalemast.core.exceptions import DalemastError
@@ -22,6 +21,7 @@
     StepRequest,
 )
 from dalemast.fleet.base import BaseIngress, JobDone, JobDropped, JobOutcome, Jobs, JobTurnedAway
+from dalemast.http.server import BACKLOG, bind_address, log_nothing
 from dalemast.observability import log_event
 from dalemast.platform.wire import (
     DEADLINE_HEADER,
@@ -51,10 +51,9 @@
 class JobHandler(RequestHandler):
     """Every method and path of the callers' address."""
 
-    def initialize(self, jobs: Jobs, ingress: PlatformIngress) -> None:
+    def initialize(self, jobs: Jobs) -> None:
         """Take what the routes give."""
         self._jobs = jobs
-        self._ingress = ingress
         self._job_id = ""
 
     def set_default_headers(self) -> None:
@@ -191,13 +190,11 @@
         super().__init__(settings=settings, jobs=jobs)
         arguments = {"jobs": jobs}
         self._callers = CountingServer(
-            Application(
-                [(".*", JobHandler, {**arguments, "ingress": self})], log_function=_log_nothing
-            ),
+            Application([(".*", JobHandler, arguments)], log_function=log_nothing),
             max_body_size=MAX_BODY_BYTES,
         )
         self._readiness = HTTPServer(
-            Application([(READY_PATH, ReadyHandler, arguments)], log_function=_log_nothing)
+            Application([(READY_PATH, ReadyHandler, arguments)], log_function=log_nothing)
         )
 
     @property
@@ -218,12 +215,8 @@
 
 
 def _listen(server: HTTPServer, address: str) -> None:
-    host, _, port = address.rpartition(":")
-    server.add_sockets(bind_sockets(int(port), host, backlog=1024))
-
-
-def _log_nothing(handler: RequestHandler) -> None:
-    """Requests are logged where they are decided on, not a second time here."""
+    sockets, _ = bind_address(address, backlog=BACKLOG)
+    server.add_sockets(sockets)
 
 
 def _check_served(body: JobBody, queue: Queue) -> None:
--- a/dalemast/platform/registration.py
+++ b/dalemast/platform/registration.py
@@ -4,12 +4,12 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 from dalemast.core.supervision import WorkerLife
 from dalemast.core.workloads import Resources
 from dalemast.fleet.base import BaseRegistration, WorkerObserver
+from dalemast.http.server import bind_address, log_nothing
 from dalemast.observability import log_error
 from dalemast.platform.wire import Heartbeat
 from dalemast.settings import FleetAgentSettings
@@ -17,6 +17,9 @@
 __all__ = ["PlatformRegistration"]
 
 LEAVING = "draining"
+BACKLOG = 64
+"""Connections that may wait to be accepted: one worker reports here."""
+
 _decoder = msgspec.json.Decoder(Heartbeat)
 
 
@@ -66,15 +69,15 @@
                     (r"/v1/Instances\.Heartbeat/([^/]+)", HeartbeatHandler, arguments),
                     (r"/v1/Instances\.Deregister/([^/]+)", DeregisterHandler, arguments),
                 ],
-                log_function=lambda handler: None,
+                log_function=log_nothing,
             )
         )
         self._numbers: dict[str, int] = {}
 
     def start(self) -> None:
         """Listen."""
-        host, _, port = self._settings.registration.address.rpartition(":")
-        self._server.add_sockets(bind_sockets(int(port), host, backlog=64))
+        sockets, _ = bind_address(self._settings.registration.address, backlog=BACKLOG)
+        self._server.add_sockets(sockets)
 
     async def close(self) -> None:
         """Stop listening."""
