--- a/tests/core/test_imports.py
+++ b/tests/core/test_imports.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import ast
 from pathlib import Path
 
 import testtools
 
 import dalemast.core
+from tests.imports import get_imports
 
 FORBIDDEN = {"tornado", "asyncio", "socket", "time", "os", "threading", "subprocess", "pycurl"}
 OUTSIDE = {
@@ -25,16 +25,6 @@
 }
 
 
-def get_imports(file: Path) -> set[str]:
-    names = set()
-    for node in ast.walk(ast.parse(file.read_text())):
-        if isinstance(node, ast.Import):
-            names |= {alias.name for alias in node.names}
-        elif isinstance(node, ast.ImportFrom) and node.module:
-            names.add(node.module)
-    return names
-
-
 class CoreImportsTests(testtools.TestCase):
     def test_core_imports_nothing_that_does_input_or_output(self) -> None:
         root = Path(dalemast.core.__file__).parent
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import ast
 import re
 from pathlib import Path
 
 import testtools
 
 import dalemast
+from tests.imports import get_imports
 
 ROOT = Path(dalemast.__file__).parent
 ALLOWED = ("platform", "emulator")
@@ -29,16 +29,6 @@
     ]
 
 
-def get_imports(file: Path) -> set[str]:
-    names: set[str] = set()
-    for node in ast.walk(ast.parse(file.read_text())):
-        if isinstance(node, ast.Import):
-            names |= {alias.name for alias in node.names}
-        elif isinstance(node, ast.ImportFrom) and node.module:
-            names.add(node.module)
-    return names
-
-
 class BoundaryTests(testtools.TestCase):
     def test_nothing_imports_the_adapter(self) -> None:
         for file in get_files():
