Tell owners when a new life takes starts; keep dialling after a fault; fewer client handles

Cause: an agent told owners that its worker takes starts only when a tick saw a change. A worker that began a new life and was looked at within one tick of 50 ms stayed "not accepting" for every owner, and an idle agent tells nothing else. A fault in what takes a link's messages ended its dialler for good. The store's client allocated 1,000 handles.

Change: the first look reports the room; a fault ends the link and is logged; 4 handles. A fleet that is not ready now says what each process knew, so the open failure tells its cause when it comes again.

Test: FirstLookTests failed before and passes.

--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -213,7 +213,10 @@
             listed.add(row.run_id)
             actions += self._see_running(row, now)
         self._strays &= listed
-        self._has_looked = True
+        if not self._has_looked:
+            # From now on starts are taken, and owners hear of it by the report alone.
+            self._has_looked = True
+            actions.append(ReportRoom())
         for run in self._runs.values():
             if run.phase is RunPhase.RUNNING:
                 actions += self._judge_pace(run, now)
--- a/dalemast/fleet/links.py
+++ b/dalemast/fleet/links.py
@@ -191,7 +191,7 @@
             connection = await self._connect()
             if connection is not None:
                 retry_s = FIRST_RETRY_S
-                await self._serve(connection)
+                await self._serve_safely(connection)
                 failing_since = time.monotonic()
             await asyncio.sleep(retry_s * (0.5 + random.random()))
             retry_s = min(retry_s * 2, LONGEST_RETRY_S)
@@ -208,6 +208,13 @@
             # What follows from it (a lost owner or peer) is logged where it is decided.
             return None
 
+    async def _serve_safely(self, connection: WebSocketClientConnection) -> None:
+        """Serve a link. A fault in what takes the messages ends the link, not the dialling."""
+        try:
+            await self._serve(connection)
+        except Exception as error:
+            log_error("link:fault", url=self._url, reason=repr(error))
+
     async def _serve(self, connection: WebSocketClientConnection) -> None:
         self._connection = connection
         link = Link(
--- a/dalemast/platform/store.py
+++ b/dalemast/platform/store.py
@@ -37,6 +37,9 @@
 MEMBERS_WAIT_S = 25.0
 """The same for the list of entries, which peers tell each other as well."""
 WAIT_SLACK_S = 0.5
+MAX_CALLS = 4
+"""Calls at a time: two feeds, an announcement and a reading. The client allocates as many handles
+at once, of some KB each."""
 RETRY_S = (0.2, 1.0)
 """First and longest pause after a call that failed."""
 GONE = 410
@@ -56,7 +59,7 @@
     def __init__(self, *, settings: object) -> None:
         address = settings.store.address  # type: ignore[attr-defined]
         self._url = f"http://{address}"
-        self._client = JsonClient()
+        self._client = JsonClient(max_clients=MAX_CALLS)
         self._is_reachable = True
 
     async def announce(self, member: Member) -> None:
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -12,6 +12,7 @@
     OrderStart,
     OrderStop,
     ReportEnd,
+    ReportRoom,
     ReportSlow,
     RunId,
     StartOutcome,
@@ -214,6 +215,16 @@
         self.assertIs(EndReason.NOT_TAKEN, report.reason)
 
 
+class FirstLookTests(SupervisorTestCase):
+    def test_owners_are_told_when_a_new_life_takes_starts(self) -> None:
+        """An agent that ticks each 50 ms may never see that starts were not taken in between."""
+        self.supervisor.meet_life(make_life("i-2"))
+        self.assertFalse(self.supervisor.is_accepting(now=1.0))
+        self.assertEqual([ReportRoom()], self.look(now=1.0))
+        self.assertTrue(self.supervisor.is_accepting(now=1.0))
+        self.assertEqual([], self.look(now=1.1))
+
+
 class PaceTests(SupervisorTestCase):
     def test_a_run_without_progress_is_reported_as_stalled(self) -> None:
         run_id = self.run_task(make_start())
--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -67,7 +67,12 @@
             await self.add_entry(settings)
         for number in range(self._worker_count):
             await self._add_worker(number)
-        await wait_until(self.is_ready, "the fleet to be ready")
+        try:
+            await wait_until(self.is_ready, "the fleet to be ready")
+        except AssertionError as error:
+            states = [process.get_state() for process in [*self.entries, *self.agents]]
+            books = [process._book.addresses for process in [*self.entries, *self.agents]]
+            raise AssertionError(f"{error}: {states}, known addresses {books}") from error
         return self
 
     async def __aexit__(self, *error: object) -> None:
