Ask all entries for an id only if its home was lost; hold the tests' ports

Cause: for 4 s after any entry was lost without a goodbye every claim went to all entries. An id whose home lives needs no more than that home. A run of the tests failed with "address already in use": ports found for listeners were free for outgoing connections until they were bound.

Change: all are asked only for ids whose home, with the lost entries counted in, is one of those lost. The tests hold each port that they give out. A method of the scheduler that nothing called is gone.

Ruled out: asking nobody in that time, since an owner may live whose claim only the lost home kept.

Test: test_every_peer_that_was_asked_for_an_id_is_told_of_its_end now begins with such an id.

--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -203,15 +203,6 @@
                     job.set_waiting(task)
         return self._refuse_overdue(now) + self.dispatch(now=now)
 
-    def abandon_begun(self, *, now: float) -> list[Action]:
-        """Give up every job that may run, after this owner itself stood still for long."""
-        actions: list[Action] = []
-        for job in list(self._jobs.values()):
-            if job.has_begun:
-                actions += self._stop_all(job)
-                actions.append(self._finish(job, JobState.FAILED, "owner-stood-still", now))
-        return actions
-
     def dispatch(self, *, now: float) -> list[Action]:
         """Place waiting tasks while there is room."""
         waiting = [job for job in self._jobs.values() if job.waiting]
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -44,8 +44,8 @@
 """A fresh home grants nothing for this long, or until all known entries have told it their jobs.
 They do so in the first message of a link, and an entry that is up is dialled within 0.1 s."""
 DOUBT_S = 4.0
-"""For this long after a peer was lost without a goodbye, all peers are asked for a claim, since
-the lost one may be the home of a job that its owner still runs. Cuts last about this long."""
+"""For this long after a peer was lost without a goodbye, all peers are asked for an id whose home
+it was, since its owner may still run the job. Cuts last about this long."""
 
 
 class OwnJobs(Protocol):
@@ -109,7 +109,8 @@
         self._asked: dict[int, asyncio.Future[ClaimAnswer]] = {}
         self._asked_for: dict[str, set[str]] = {}
         """By id of this entry's jobs, the peers that may keep its claim."""
-        self._doubted_until = 0.0
+        self._lost_until: dict[str, float] = {}
+        """Entries that were lost without a goodbye, and until when they may keep a claim."""
         self._started_at = time.monotonic()
 
     @property
@@ -151,9 +152,9 @@
         self._tell_agents(news)
 
     async def claim(self, job_id: str) -> Granted | Held:
-        """Claim an id at its home, or at every peer while one of them may be missing."""
+        """Claim an id at its home, or at every peer if its home may be one that was lost."""
         home = choose_home(job_id, [self._member.name, *self._dialled])
-        if not self._is_doubtful():
+        if not self._may_be_kept_elsewhere(job_id):
             if home == self._member.name:
                 return self._claim_here(job_id, self._member.incarnation)
             answer = await self._ask(self._dialled[home], job_id)
@@ -207,7 +208,7 @@
             del self._dialled[member.name]
             log_event("peer:lost", peer=member.name, is_planned=session.is_ending)
             if not session.is_ending:
-                self._doubted_until = time.monotonic() + DOUBT_S
+                self._lost_until[member.name] = time.monotonic() + DOUBT_S
             self._move_claims()
         if not session.is_dialled and self._accepted.get(member.incarnation) is session:
             del self._accepted[member.incarnation]
@@ -276,8 +277,14 @@
             else:
                 self._send_claim(self._dialled[home], job_id, number=0)
 
-    def _is_doubtful(self) -> bool:
-        return time.monotonic() < self._doubted_until
+    def _may_be_kept_elsewhere(self, job_id: str) -> bool:
+        """Tell whether the id's home may be an entry that was lost a short while ago."""
+        now = time.monotonic()
+        lost = [name for name, until in self._lost_until.items() if now < until]
+        lost = [name for name in lost if name not in self._dialled]
+        if not lost:
+            return False
+        return choose_home(job_id, [self._member.name, *self._dialled, *lost]) in lost
 
     async def _claim_everywhere(self, job_id: str) -> Granted | Held:
         own = self._claim_here(job_id, self._member.incarnation)
--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from typing import Any
 
 import msgspec
@@ -26,11 +27,22 @@
 STEP = {"count": 1, "cpu": 1000, "mem_mb": 10, "estimate_ms": 100}
 
 
+HELD_PORTS = 400
+_held: deque[socket.socket] = deque(maxlen=HELD_PORTS)
+"""Sockets that hold the ports that were given out: bound, not listening, open to reuse. A listener
+may take such a port, and the system gives it to nobody else. Ports that were not held were taken by
+outgoing connections or given out twice: "address already in use", seen under load."""
+
+
 def find_address() -> str:
-    """Return an address whose port the system has just given out."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an address whose port the system gave out and keeps free for a listener."""
+    probe = socket.socket()
+    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    probe.bind(("127.0.0.1", 0))
+    if len(_held) == HELD_PORTS:
+        _held[0].close()
+    _held.append(probe)
+    return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
 def make_configuration(version: int, **route: Any) -> dict[str, Any]:
--- a/tests/fleet/test_path.py
+++ b/tests/fleet/test_path.py
@@ -5,12 +5,18 @@
 import asyncio
 from typing import Any
 
+from dalemast.core.ownership import choose_home
 from tests.base import AsyncTestCase, wait_until
 from tests.fleet.base import PREFIX, LocalFleet, make_configuration, make_text, settle
 
 JOB = "00000000000000aa"
 
 
+def is_home(name: str, job_id: str, fleet: LocalFleet) -> bool:
+    entries = [settings.name for settings in fleet.entry_settings]
+    return choose_home(job_id, [name, *entries]) == name
+
+
 def read_state(response: Any) -> str:
     return str(response.decode(dict[str, Any])["state"])
 
@@ -144,10 +150,13 @@
         async def scenario() -> None:
             async with LocalFleet(entries=3, workers=1) as fleet:
                 peers = fleet.entries[0]._peers
-                peers._doubted_until = float("inf")  # as after a peer was lost: all are asked
+                # As after the loss of a peer that was this id's home: all the others are asked.
+                lost = next(f"l{n}" for n in range(99) if is_home(f"l{n}", JOB, fleet))
+                peers._lost_until[lost] = float("inf")
                 job = asyncio.ensure_future(fleet.submit(JOB, text=make_text(0.4)))
                 await wait_until(lambda: len(fleet.get_running(JOB)) == 1)
-                peers._doubted_until = 0.0
+                self.assertEqual({"entry-1", "entry-2"}, peers._asked_for[JOB])
+                peers._lost_until.clear()
                 self.assertEqual(200, (await job).status)
                 await wait_until(lambda: not any(e.get_state()["claims"] for e in fleet.entries))
 
