--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -176,6 +176,15 @@
             session.room_sent_at = 0.0
         self.mark_room()
 
+    def forgive_silence(self, late_s: float) -> None:
+        """Take a time in which this agent did not listen off the silence of all links.
+
+        Only links are forgiven. An owner's runs are stopped when it is silent, whoever's fault that
+        is, since a caller may have submitted the job elsewhere meanwhile.
+        """
+        for session in self._sessions.values():
+            session.link.forgive(late_s)
+
     def tick(self, now: float) -> None:
         """Send beats and what room reports are due; give up silent links."""
         busy = {run.request.owner for run in self._supervisor.runs.values()}
--- a/dalemast/fleet/agent/process.py
+++ b/dalemast/fleet/agent/process.py
@@ -97,6 +97,10 @@
         self._owners.stop_all()
         await self._registration.close()
 
+    def _forgive_silence(self, late_s: float) -> None:
+        """Take the time that this process was late itself off the silence of all links."""
+        self._owners.forgive_silence(late_s)
+
     def _recover_from_pause(self) -> None:
         """Drop all links: what waited there may be out of date."""
         self._owners.reset_all()
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -160,6 +160,11 @@
         log_event("agent:lost", agent=name, worker=session.worker, reason=reason)
         self._drop_worker(session)
 
+    def forgive_silence(self, late_s: float) -> None:
+        """Take a time in which this entry did not listen off the silence of all agents."""
+        for session in self._sessions.values():
+            session.link.forgive(late_s)
+
     def tick(self, now: float) -> None:
         """Send beats and give up silent links."""
         busy = {
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -214,6 +214,11 @@
             del self._accepted[member.incarnation]
             self._claims.note_lost(member.incarnation, now=time.monotonic())
 
+    def forgive_silence(self, late_s: float) -> None:
+        """Take a time in which this entry did not listen off the silence of all others."""
+        for session in self._sessions:
+            session.link.forgive(late_s)
+
     def tick(self, now: float) -> None:
         """Send beats, give up silent links, forget owners that are gone."""
         for session in list(self._sessions):
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -203,6 +203,11 @@
         await self._ingress.close()
         await self._listener.close()
 
+    def _forgive_silence(self, late_s: float) -> None:
+        """Take the time that this process was late itself off the silence of all links."""
+        self._agents.forgive_silence(late_s)
+        self._peers.forgive_silence(late_s)
+
     def _recover_from_pause(self) -> None:
         """Give up the jobs that have begun: their runs may have lapsed meanwhile."""
         self._desk.abandon_begun(time.monotonic())
--- a/dalemast/fleet/links.py
+++ b/dalemast/fleet/links.py
@@ -101,6 +101,10 @@
         self.heard_at = time.monotonic()
         return decode_frame(data, self._message_type)
 
+    def forgive(self, late_s: float) -> None:
+        """Count the peer's silence as shorter, by a time in which this process did not listen."""
+        self.heard_at = min(self.heard_at + late_s, time.monotonic())
+
     def reset(self) -> None:
         """Close at once, so that nothing held up on the way is delivered later."""
         self._is_open = False
--- a/dalemast/fleet/process.py
+++ b/dalemast/fleet/process.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+import time
 from collections.abc import Coroutine
 from typing import Any
 
@@ -21,6 +22,9 @@
 
 TICK_S = 0.05
 """The grain of time-outs; the shortest, a beat, is 0.12 s."""
+LATE_TICK_S = 0.1
+"""From this delay of its own tick a process doubts its ear: what its peers sent meanwhile may wait
+in its sockets still. On a crowded host ticks are late by up to some tenths of a second."""
 
 
 class BaseFleetProcess(BaseProcess):
@@ -65,6 +69,10 @@
     def _recover_from_pause(self) -> None:
         """Give up what may be out of date after this process stood still."""
 
+    @abc.abstractmethod
+    def _forgive_silence(self, late_s: float) -> None:
+        """Take the time that this process was late itself off the silence of all links."""
+
     @abc.abstractmethod
     async def _close_parts(self) -> None:
         """End the role's own links and listeners."""
@@ -93,5 +101,9 @@
 
     async def _tick_forever(self) -> None:
         while True:
+            due_at = time.monotonic() + TICK_S
             await asyncio.sleep(TICK_S)
+            late_s = time.monotonic() - due_at
+            if late_s > LATE_TICK_S:
+                self._forgive_silence(late_s)
             self._tick()
--- a/tests/fleet/test_path.py
+++ b/tests/fleet/test_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 from dalemast.core.ownership import choose_home
@@ -253,6 +254,21 @@
         self.run_async(scenario())
 
 
+class StarvedTests(AsyncTestCase):
+    def test_a_process_that_was_late_itself_keeps_its_links(self) -> None:
+        """Links were reset by ends that had not listened, again and again on a crowded host."""
+
+        async def scenario() -> None:
+            async with LocalFleet(entries=2, workers=1) as fleet:
+                before = set(fleet.entries[0]._peers._sessions)
+                for _ in range(3):
+                    time.sleep(0.6)
+                    await asyncio.sleep(0.3)
+                self.assertEqual(before, set(fleet.entries[0]._peers._sessions))
+
+        self.run_async(scenario())
+
+
 class PlannedStopTests(AsyncTestCase):
     def test_an_entry_that_stops_finishes_its_jobs(self) -> None:
         async def scenario() -> None:
