Let a cancelled job's first tasks outlast the cancelling on a crowded host

Its tasks slept 0.6 s, and the cancel took longer than that to be sent, so a second wave had begun, as it should.

Change: the tasks sleep 15 s, so the check is the same and no longer rests on how fast the test is.

--- a/tests/entry/test_submissions.py
+++ b/tests/entry/test_submissions.py
@@ -149,7 +149,7 @@
         async def run() -> None:
             async with LocalSystem(entry_count=2) as system:
                 ticket = await system.get_ticket()
-                body = make_job("sleep", *[{"ms": 600}] * 40)
+                body = make_job("sleep", *[{"ms": 15_000}] * 40)
                 task = asyncio.create_task(system.submit(body, ticket=ticket))
                 engine = system.process.entries[0].engine
                 await wait_until(lambda: engine.open_jobs == 1)
