Tick less often when idle; one link of two carries the beats between entries

Cause: 82 idle processes ticked 20 times a second, and each pair of 12 entries sent four beats every 0.2 s, on both of their links and both ways.

Change: ticks are 0.15 s apart while nothing is under way. Beats go out on the dialled link only, and an entry counts as silent when neither of its links brought anything. With more than eight others the pause between beats grows, so that an entry sends 40 a second at most.

--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -38,8 +38,12 @@
 CLAIM_TIMEOUT_S = 0.15
 """A home in the same region answers within about 2 ms, a slowed one within some 50 ms."""
 BEAT_S = 0.2
-"""Pause between messages on a link between entries. Two misses and some make it silent."""
-SILENCE_S = 0.5
+"""Shortest pause between beats to another entry."""
+BEATS_PER_S = 40
+"""Beats that an entry sends in a second, to all others together. With more than eight of them the
+pause grows, since the beats of a whole fleet of entries grow with their square."""
+SILENT_BEATS = 2.5
+"""Pauses between beats after which an entry counts as silent: two misses and some."""
 SETTLE_S = 0.3
 """A fresh home grants nothing for this long, or until all known entries have told it their jobs.
 They do so in the first message of a link, and an entry that is up is dialled within 0.1 s."""
@@ -221,14 +225,34 @@
 
     def tick(self, now: float) -> None:
         """Send beats, give up silent links, forget owners that are gone."""
+        beat_s = max(BEAT_S, len(self._dialled) / BEATS_PER_S)
         for session in list(self._sessions):
-            if now - session.link.sent_at >= BEAT_S:
+            if self._carries_beats(session) and now - session.link.sent_at >= beat_s:
                 session.link.send(Beat())
-            if now - session.link.heard_at > SILENCE_S:
+            if now - self._get_heard_at(session) > SILENT_BEATS * beat_s:
                 log_event("peer:silent", peer=session.member.name if session.member else "")
                 self.end_session(session)
         self._claims.sweep(now=now)
 
+    def _carries_beats(self, session: PeerSession) -> bool:
+        """Tell whether beats go out here: of two links with one entry, on the dialled one."""
+        member = session.member
+        return session.is_dialled or member is None or member.name not in self._dialled
+
+    def _get_heard_at(self, session: PeerSession) -> float:
+        """Return when the entry at the other end was last heard, on either of its links."""
+        heard_at = session.link.heard_at
+        member = session.member
+        if member is None:
+            return heard_at
+        if session.is_dialled:
+            other = self._accepted.get(member.incarnation)
+        else:
+            other = self._dialled.get(member.name)
+        if other is None or other.member != member:
+            return heard_at
+        return max(heard_at, other.link.heard_at)
+
     def _dial(self, address: str) -> None:
         if address in self._dialers:
             return
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -212,6 +212,11 @@
         """Give up the jobs that have begun: their runs may have lapsed meanwhile."""
         self._desk.abandon_begun(time.monotonic())
 
+    @property
+    def _is_busy(self) -> bool:
+        """Whether a job is open here."""
+        return bool(len(self._desk))
+
     def _tick(self) -> None:
         self._check_pause()
         now = time.monotonic()
--- a/dalemast/fleet/process.py
+++ b/dalemast/fleet/process.py
@@ -22,6 +22,9 @@
 
 TICK_S = 0.05
 """The grain of time-outs; the shortest, a beat, is 0.12 s."""
+IDLE_TICK_S = 0.15
+"""The same while nothing is under way: what then runs out are pauses between beats, 0.2 s and more,
+and a standstill of 0.45 s must still be told from a pause between two ticks."""
 LATE_TICK_S = 0.1
 """From this delay of its own tick a process doubts its ear: what its peers sent meanwhile may wait
 in its sockets still. On a crowded host ticks are late by up to some tenths of a second."""
@@ -61,9 +64,14 @@
     def get_state(self) -> dict[str, object]:
         """Return the dump."""
 
+    @property
+    @abc.abstractmethod
+    def _is_busy(self) -> bool:
+        """Whether jobs or runs are under way, whose time-outs are short."""
+
     @abc.abstractmethod
     def _tick(self) -> None:
-        """Let time-outs pass; called every :data:`TICK_S`."""
+        """Let time-outs pass; called every :data:`TICK_S`, or :data:`IDLE_TICK_S` when idle."""
 
     @abc.abstractmethod
     def _recover_from_pause(self) -> None:
@@ -101,8 +109,9 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            due_at = time.monotonic() + TICK_S
-            await asyncio.sleep(TICK_S)
+            pause_s = TICK_S if self._is_busy else IDLE_TICK_S
+            due_at = time.monotonic() + pause_s
+            await asyncio.sleep(pause_s)
             late_s = time.monotonic() - due_at
             if late_s > LATE_TICK_S:
                 self._forgive_silence(late_s)
