--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 BENCH ?= short
 
-.PHONY: setup demo serve test format bench soak fleet-soak binary capacity docs
+.PHONY: setup demo serve test format bench soak fleet-soak plots binary capacity docs
 
 setup: $(VENV)/.installed
 
@@ -39,6 +39,9 @@
 fleet-soak: setup
 	$(BIN)/python -m tests.soak --seeds $(or $(SEEDS),10) --seconds $(or $(SECONDS),15)
 
+plots: setup
+	$(BIN)/python -m dalemast.bench.plots $(if $(LOG),--log $(LOG))
+
 capacity: setup
 	$(BIN)/python -m dalemast.bench.capacity --check
 
