Let the soak's proxy lose bytes whose sender has reset the connection

Cause: the proxy handed on bytes that it had held up, 1.5 s after their sender had reset the connection. The platform says that such bytes are lost, and owners reset silent links for just that reason.

No check is changed; the stand-in now keeps to the platform's word, and a test of it failed first.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -11,8 +11,20 @@
 CHUNK_BYTES = 65536
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, so that its other end learns of it at once."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 class Proxy:
-    """One listening address in front of another. Held-up bytes pass on once the fault is over."""
+    """One listening address in front of another.
+
+    Held-up bytes pass on once the fault is over, unless their sender has reset the connection
+    meanwhile: then they are lost, as on the platform.
+    """
 
     def __init__(self, *, target: str) -> None:
         self._target = target
@@ -49,10 +61,7 @@
     def reset(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            writer.transport.abort()
+            reset_connection(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, _, port = self._target.rpartition(":")
@@ -81,5 +90,7 @@
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 await self._open[way].wait()
+                if reader.exception() is not None:
+                    return
                 writer.write(data)
                 await writer.drain()
--- /dev/null
+++ b/tests/soak/test_proxy.py
@@ -0,0 +1,44 @@
+"""The proxy holds to what the platform says of bytes that a cut holds up."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.base import AsyncTestCase
+from tests.soak.proxy import Proxy, reset_connection
+
+
+class HeldBytesTests(AsyncTestCase):
+    async def _pass_on(self, *, resets: bool) -> bytes:
+        """Send bytes that are held up, end the sending side, heal; return what arrives."""
+        arrived: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            arrived.set_result(await reader.read())
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        proxy = Proxy(target="127.0.0.1:{}".format(server.sockets[0].getsockname()[1]))
+        await proxy.start()
+        host, port = proxy.address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        proxy.silence("up", "down")
+        writer.write(b"held up")
+        await asyncio.sleep(0.05)
+        if resets:
+            reset_connection(writer)
+        else:
+            writer.close()
+        await asyncio.sleep(0.05)
+        proxy.heal()
+        try:
+            return await arrived
+        finally:
+            await proxy.close()
+            server.close()
+
+    def test_bytes_are_lost_if_their_sender_resets_the_connection(self) -> None:
+        self.assertEqual(b"", self.run_async(self._pass_on(resets=True)))
+
+    def test_bytes_arrive_if_their_sender_closes_it(self) -> None:
+        self.assertEqual(b"held up", self.run_async(self._pass_on(resets=False)))
