--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -18,7 +18,7 @@
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        proxy = Proxy(target="127.0.0.1:{}".format(server.sockets[0].getsockname()[1]))
+        proxy = Proxy(target=f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
         await proxy.start()
         host, port = proxy.address.split(":")
         _, writer = await asyncio.open_connection(host, int(port))
