Number the emulated workers, so that no two lives share an id

Cause: the id came from the last digits of the worker's address in memory. Two workers of one run shared it, and owners took the two for one. Found by the soak: 24 times two runs at once.

--- a/dalemast/emulator/worker.py
+++ b/dalemast/emulator/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import time
 from collections.abc import Callable
@@ -28,6 +29,8 @@
 __all__ = ["EmulatedWorker", "WorkerFaults"]
 
 
+_numbers = itertools.count(1)
+"""Numbers of the workers of this process: no two lives may share an id."""
 DEFAULT_RUN_S = 0.1
 LOOK_GRAIN_S = 0.005
 LATE_ORDER_S = (0.5, 2.0)
@@ -73,6 +76,7 @@
         self._zone = zone
         self._cpu = cpu
         self._address = address
+        self._number = next(_numbers)
         self._lives = 0
         self._life_id = ""
         self._beats = 0
@@ -113,7 +117,7 @@
     def start(self) -> None:
         """Begin a life: listen and report."""
         self._lives += 1
-        self._life_id = f"i-{self._service}-{id(self) % 10_000}-{self._lives}"
+        self._life_id = f"i-{self._service}-{self._number}-{self._lives}"
         self._runs = EmulatedRuns()
         routes = [
             (START_PATH, CallHandler, {"worker": self, "serve": self._start_run}),
