Bound the entries that an agent is linked to

Cause: links between entries and agents grow with their product: 840 on the grown card circuit, some 11,000 at 300 hosts, and beats and room reports with them.

Change: of more than 16 entries an agent keeps links with 12 in its own data centre and 4 elsewhere, chosen by rendezvous hashing; an entry that can't be dialled for 6 s gives its place to another, and one whose runs go on keeps its link. The bounds are settings, with a check. Dialling has moved from OwnerLinks to a module of its own.

Ruled out: links with near entries only, since a full data centre then could not pass work on; a random choice, which moves many links when an entry comes or goes (property: one at most).

Measured: tests only so far; systems of up to 16 entries are linked as before.

--- a/dalemast/core/ownership/__init__.py
+++ b/dalemast/core/ownership/__init__.py
@@ -1,6 +1,20 @@
 """One owner at a time for a job's id, without a write to the store."""
 
 from dalemast.core.ownership.claims import Claims, Granted, Held
-from dalemast.core.ownership.rendezvous import choose_home
+from dalemast.core.ownership.neighbours import (
+    KnownEntry,
+    LinkBounds,
+    choose_owners,
+)
+from dalemast.core.ownership.rendezvous import choose_home, rank_entries
 
-__all__ = ["Claims", "Granted", "Held", "choose_home"]
+__all__ = [
+    "Claims",
+    "Granted",
+    "Held",
+    "KnownEntry",
+    "LinkBounds",
+    "choose_home",
+    "choose_owners",
+    "rank_entries",
+]
--- a/dalemast/core/ownership/rendezvous.py
+++ b/dalemast/core/ownership/rendezvous.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-__all__ = ["choose_home"]
+__all__ = ["choose_home", "rank_entries"]
 
 DIGEST_BYTES = 8
 
@@ -15,5 +15,10 @@
     return max(entries, key=lambda entry: _score(job_id, entry))
 
 
+def rank_entries(key: str, entries: Iterable[str]) -> list[str]:
+    """Return entries by their hash together with a key, the highest first."""
+    return sorted(entries, key=lambda entry: _score(key, entry), reverse=True)
+
+
 def _score(job_id: str, entry: str) -> bytes:
     return blake2b(f"{entry}\0{job_id}".encode(), digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/dalemast/fleet/agent/dialling.py
@@ -0,0 +1,104 @@
+"""Which entries an agent dials: all of a small system, a bounded choice of a large one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from typing import Any
+
+from dalemast.core.ownership import KnownEntry, LinkBounds, choose_owners
+from dalemast.fleet.base import Member
+from dalemast.fleet.book import AddressBook
+from dalemast.fleet.frames import EntryMessage
+from dalemast.fleet.links import Dialer, Link
+from dalemast.fleet.paths import AGENTS_PATH
+from dalemast.observability import log_event
+
+__all__ = ["OwnerDialling"]
+
+REVIEW_PAUSE_S = 1.0
+"""Pause between two reviews of the choice: about the time in which a lost entry is back."""
+UNREACHABLE_S = 6.0
+"""An entry that can't be dialled for this long gives its place to another: longer than cuts last,
+so that no link is moved for a passing fault."""
+
+
+class OwnerDialling:
+    """Keeps dialling the chosen entries, and those that don't answer, in case they come back."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        data_centre: str,
+        book: AddressBook,
+        bounds: LinkBounds,
+        make_receiver: Callable[[Link], Any],
+    ) -> None:
+        self._name = name
+        self._data_centre = data_centre
+        self._book = book
+        self._bounds = bounds
+        self._make_receiver = make_receiver
+        self._dialers: dict[str, Dialer] = {}
+        self._reviewed_at = 0.0
+
+    @property
+    def addresses(self) -> list[str]:
+        """The addresses that are dialled."""
+        return list(self._dialers)
+
+    def start(self) -> None:
+        """Dial every entry that is known now or later, until the choice is reviewed."""
+        for address in self._book.addresses:
+            self._dial(address)
+        self._book.on_address(self._dial)
+
+    def stop(self) -> None:
+        """Dial no more and end all links."""
+        for dialer in self._dialers.values():
+            dialer.stop()
+
+    def review(self, *, busy: Collection[str], is_linked: bool, now: float) -> None:
+        """Dial what is wanted by now and end other links, but those of ``busy`` entries."""
+        if now - self._reviewed_at < REVIEW_PAUSE_S:
+            return
+        self._reviewed_at = now
+        if len(self._book.addresses) <= self._bounds.total:
+            return
+        members = {member.address: member for member in self._book.members}
+        wanted = self._choose_addresses(members, now)
+        for address in wanted:
+            self._dial(address)
+        for address, dialer in list(self._dialers.items()):
+            member = members.get(address)
+            is_spare = is_linked if member is None else member.name not in busy
+            if address in wanted or dialer.is_failing(now, longer_than_s=0.0) or not is_spare:
+                continue
+            log_event("entry:not-chosen", address=address)
+            dialer.stop()
+            del self._dialers[address]
+
+    def _choose_addresses(self, members: dict[str, Member], now: float) -> set[str]:
+        by_name = {
+            member.name: address
+            for address, member in members.items()
+            if not self._is_unreachable(address, now)
+        }
+        known = [
+            KnownEntry(name=name, is_near=members[address].data_centre == self._data_centre)
+            for name, address in by_name.items()
+        ]
+        return {by_name[name] for name in choose_owners(self._name, known, bounds=self._bounds)}
+
+    def _is_unreachable(self, address: str, now: float) -> bool:
+        dialer = self._dialers.get(address)
+        return dialer is not None and dialer.is_failing(now, longer_than_s=UNREACHABLE_S)
+
+    def _dial(self, address: str) -> None:
+        if address in self._dialers:
+            return
+        self._dialers[address] = Dialer(
+            url=f"ws://{address}{AGENTS_PATH}",
+            message_type=EntryMessage,
+            make_receiver=self._make_receiver,
+        )
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 
+from dalemast.core.ownership import LinkBounds
 from dalemast.core.supervision import (
     ReportEnd,
     ReportSlow,
@@ -15,6 +16,7 @@
     get_room_pause,
 )
 from dalemast.core.workloads import Resources, TaskKey
+from dalemast.fleet.agent.dialling import OwnerDialling
 from dalemast.fleet.base import Member
 from dalemast.fleet.book import AddressBook, to_member
 from dalemast.fleet.frames import (
@@ -32,8 +34,7 @@
     Stop,
     WorkerNews,
 )
-from dalemast.fleet.links import Dialer, Link
-from dalemast.fleet.paths import AGENTS_PATH
+from dalemast.fleet.links import Link
 from dalemast.fleet.timing import FleetTimes
 from dalemast.observability import log_event
 
@@ -75,6 +76,7 @@
         incarnation: str,
         data_centre: str,
         book: AddressBook,
+        bounds: LinkBounds,
         supervisor: Supervisor,
         times: FleetTimes,
         start: Callable[[StartRequest], None],
@@ -90,7 +92,13 @@
         self._start = start
         self._stop = stop
         self._check_pause = check_pause
-        self._dialers: dict[str, Dialer] = {}
+        self._dialling = OwnerDialling(
+            name=name,
+            data_centre=data_centre,
+            book=book,
+            bounds=bounds,
+            make_receiver=lambda link: OwnerSession(link=link, links=self),
+        )
         self._sessions: dict[str, OwnerSession] = {}
         self._was_accepting = False
         self._announced_life = ""
@@ -100,18 +108,15 @@
         return len(self._sessions)
 
     def dial_all(self) -> None:
-        """Dial every entry that is known now or later."""
-        for address in self._book.addresses:
-            self._dial(address)
-        self._book.on_address(self._dial)
+        """Dial the entries that are known now or later."""
+        self._dialling.start()
 
     def stop_all(self) -> None:
         """Say goodbye and end all links."""
         for session in self._sessions.values():
             session.link.send(Bye())
             session.link.flush()
-        for dialer in self._dialers.values():
-            dialer.stop()
+        self._dialling.stop()
 
     def reset_all(self) -> None:
         """Reset all links, so that nothing is acted on that waited in their sockets."""
@@ -184,6 +189,7 @@
         self._announce_worker()
         self._check_accepting(now)
         busy = {run.request.owner for run in self._supervisor.runs.values()}
+        self._review_links(busy, now)
         self._send_rooms(now)
         for session in list(self._sessions.values()):
             is_busy = session.owner in busy
@@ -194,6 +200,15 @@
                 session.link.reset()
                 self.end_session(session)
 
+    def _review_links(self, busy: set[str], now: float) -> None:
+        """Let the choice of entries be reviewed; those whose runs go on here keep their links."""
+        names = {
+            session.member.name
+            for session in self._sessions.values()
+            if session.member is not None and session.owner in busy
+        }
+        self._dialling.review(busy=names, is_linked=bool(self._sessions), now=now)
+
     def _take(self, session: OwnerSession, message: EntryMessage) -> None:
         match message:
             case EntryHello():
@@ -301,15 +316,6 @@
     def _count_runs(self, session: OwnerSession) -> int:
         return len(self._supervisor.get_owner_runs(session.owner))
 
-    def _dial(self, address: str) -> None:
-        if address in self._dialers:
-            return
-        self._dialers[address] = Dialer(
-            url=f"ws://{address}{AGENTS_PATH}",
-            message_type=EntryMessage,
-            make_receiver=lambda link: OwnerSession(link=link, links=self),
-        )
-
 
 def _make_row(run_id: RunId) -> RunRow:
     return RunRow(
--- a/dalemast/fleet/agent/process.py
+++ b/dalemast/fleet/agent/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from dalemast.core.ownership import LinkBounds
 from dalemast.core.supervision import Supervisor, SupervisorLimits
 from dalemast.fleet.agent.owners import OwnerLinks
 from dalemast.fleet.agent.worker import WorkerLoop
@@ -45,6 +46,7 @@
             incarnation=make_incarnation(),
             data_centre=settings.data_centre,
             book=self._book,
+            bounds=LinkBounds(near=settings.max_near_links, far=settings.max_far_links),
             supervisor=self._supervisor,
             times=self._times,
             start=self._worker.start,
--- a/dalemast/fleet/links.py
+++ b/dalemast/fleet/links.py
@@ -200,8 +200,14 @@
         self._message_type = message_type
         self._make_receiver = make_receiver
         self._connection: WebSocketClientConnection | None = None
+        self._failing_since: float | None = time.monotonic()
+        """Since when no link is open, or None while one is."""
         self._task = asyncio.create_task(self._keep())
 
+    def is_failing(self, now: float, *, longer_than_s: float) -> bool:
+        """Tell whether no link has been open for longer than this."""
+        return self._failing_since is not None and now - self._failing_since > longer_than_s
+
     def stop(self) -> None:
         """End the link and connect no more."""
         self._task.cancel()
@@ -210,16 +216,16 @@
 
     async def _keep(self) -> None:
         retry_s = FIRST_RETRY_S
-        failing_since = time.monotonic()
         while True:
             connection = await self._connect()
             if connection is not None:
                 retry_s = FIRST_RETRY_S
+                self._failing_since = None
                 await self._serve_safely(connection)
-                failing_since = time.monotonic()
+                self._failing_since = time.monotonic()
             await asyncio.sleep(retry_s * (0.5 + random.random()))
             retry_s = min(retry_s * 2, LONGEST_RETRY_S)
-            if time.monotonic() - failing_since > DOUBT_AFTER_S:
+            if self.is_failing(time.monotonic(), longer_than_s=DOUBT_AFTER_S):
                 retry_s = GIVE_UP_RETRY_S
 
     async def _connect(self) -> WebSocketClientConnection | None:
--- a/dalemast/settings/checks.py
+++ b/dalemast/settings/checks.py
@@ -193,6 +193,8 @@
         lease_max_s=settings.lease_max_ms / 1000,
         stop_s=settings.stop_ms / 1000,
     )
+    if isinstance(settings, FleetAgentSettings):
+        yield from _check_link_bounds(settings)
     if times.lease_s < SHORTEST_LEASE_S or times.lost_run_s >= settings.resend_ms / 1000:
         yield _error(
             15,
@@ -203,6 +205,17 @@
         )
 
 
+def _check_link_bounds(settings: FleetAgentSettings) -> Iterator[CheckMessage]:
+    for name in ("max_near_links", "max_far_links"):
+        if getattr(settings, name) < 1:
+            yield _error(
+                16,
+                f"$.{name}",
+                "an agent without links to some entries gets no tasks of theirs",
+                "1 or more; 12 and 4 link every agent to all entries of a system of 16",
+            )
+
+
 def _check_platform_server(settings: Settings) -> Iterator[CheckMessage]:
     if isinstance(settings, PlatformServerSettings) and settings.writes_per_s < 0:
         yield _error(13, "$.writes_per_s", "a rate is not below 0", "0 sets no limit")
--- a/dalemast/settings/fleet.py
+++ b/dalemast/settings/fleet.py
@@ -72,7 +72,11 @@
     """Settings of ``dalemast fleet-agent``.
 
     ``registration`` is where the worker on this host reports, ``worker`` where it takes calls.
+    ``max_near_links`` and ``max_far_links`` bound the entries that the worker is offered to, in the
+    agent's own data centre and elsewhere, once there are more than both together.
     """
 
     registration: ListenerSettings
     worker: AddressSettings
+    max_near_links: int = 12
+    max_far_links: int = 4
--- a/tests/fleet/test_path.py
+++ b/tests/fleet/test_path.py
@@ -41,6 +41,22 @@
 
         self.run_async(scenario())
 
+    def test_an_agent_keeps_no_more_links_than_its_bounds(self) -> None:
+        async def scenario() -> None:
+            bounds = {"max_near_links": 1, "max_far_links": 1}
+            fleet = LocalFleet(entries=4, workers=1, agent_settings=bounds, links_per_agent=2)
+            async with fleet:
+                linked = [e for e in fleet.entries if e.get_state()["workers"]]
+                self.assertEqual(2, len(linked))
+                response = await fleet.submit(JOB, entry=fleet.entries.index(linked[0]))
+                self.assertEqual(200, response.status)
+                # An entry that goes gives its place to another.
+                await linked[0].close()
+                fleet.entries.remove(linked[0])
+                await wait_until(lambda: fleet.agents[0].get_state()["entries"] == 2)
+
+        self.run_async(scenario())
+
     def test_what_is_not_served_is_refused_as_not_run(self) -> None:
         async def scenario() -> None:
             async with LocalFleet(entries=1, workers=1) as fleet:
