Let the soak's proxy reset what waited while it stood still itself

Cause: on a crowded machine the soak's process stood still for 1.9 s. An entry reset its silent link meanwhile, and the proxy then read the starts that waited in front of the reset and handed them on. Found by the soak: two runs of two tasks at once.

No check is changed.

Before: the new test receives bytes from before the standstill.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,7 +6,12 @@
 import contextlib
 import socket
 import struct
+import time
 
+LATE_S = 0.25
+"""How long this process may stand still before what waited in its sockets counts as held up. Owners
+give a silent link up after 0.45 s, and then what they sent must not arrive any more."""
+TICK_S = 0.02
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CHUNK_BYTES = 65536
 
@@ -23,7 +28,8 @@
     """One listening address in front of another.
 
     Held-up bytes pass on once the fault is over, unless their sender has reset the connection
-    meanwhile: then they are lost, as on the platform.
+    meanwhile: then they are lost, as on the platform. When this process itself stood still, resets
+    may wait in its sockets behind the bytes, so such connections are reset with all they hold.
     """
 
     def __init__(self, *, target: str) -> None:
@@ -33,6 +39,7 @@
         self._open = {"up": asyncio.Event(), "down": asyncio.Event()}
         self.delay_s = 0.0
         self.address = ""
+        self._ticked_at = time.monotonic()
         self.heal()
 
     async def start(self) -> None:
@@ -40,10 +47,12 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
+        self._ticker = asyncio.create_task(self._tick_forever())
 
     async def close(self) -> None:
         """Stop and drop all connections."""
         self._server.close()
+        self._ticker.cancel()
         for task in list(self._tasks):
             task.cancel()
 
@@ -63,6 +72,15 @@
         for writer in list(self._writers):
             reset_connection(writer)
 
+    async def _tick_forever(self) -> None:
+        while True:
+            self._ticked_at = time.monotonic()
+            await asyncio.sleep(TICK_S)
+
+    def _stood_still(self) -> bool:
+        """Tell whether this process did not run for a while before what is being read was read."""
+        return time.monotonic() - self._ticked_at > LATE_S
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, _, port = self._target.rpartition(":")
         try:
@@ -87,6 +105,9 @@
     ) -> None:
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while data := await reader.read(CHUNK_BYTES):
+                if self._stood_still():
+                    reset_connection(writer)
+                    return
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 await self._open[way].wait()
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import time
 
 from tests.base import AsyncTestCase
-from tests.soak.proxy import Proxy, reset_connection
+from tests.soak.proxy import LATE_S, Proxy, reset_connection
 
 
 class HeldBytesTests(AsyncTestCase):
@@ -37,6 +39,32 @@
             await proxy.close()
             server.close()
 
+    def test_bytes_that_waited_while_the_proxy_stood_still_are_lost(self) -> None:
+        """Seed 914339: on a crowded machine the proxy stood still for more than a second."""
+
+        async def scenario() -> bytes:
+            arrived: list[bytes] = []
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                with contextlib.suppress(ConnectionError):
+                    arrived.append(await reader.read(100))
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            proxy = Proxy(target=f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+            await proxy.start()
+            host, port = proxy.address.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            await asyncio.sleep(0.1)
+            writer.write(b"sent before the pause")
+            time.sleep(2 * LATE_S)
+            await asyncio.sleep(0.2)
+            await proxy.close()
+            server.close()
+            return b"".join(arrived)
+
+        self.assertEqual(b"", self.run_async(scenario()))
+
     def test_bytes_are_lost_if_their_sender_resets_the_connection(self) -> None:
         self.assertEqual(b"", self.run_async(self._pass_on(resets=True)))
 
