Address all tries of a start to the life that the first one meant

Cause: a start that stayed unanswered was said again to whatever life of the worker was known by then.

Before: the new test sees the later life addressed.

--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -86,7 +86,12 @@
         self._ends_seen = 0
 
     async def start(self, request: StartRequest) -> StartOutcome:
-        """Order a start, trying again while it stays unanswered."""
+        """Order a start, trying again while it stays unanswered.
+
+        All tries are meant for the life that was known at the first one: a run must not begin on a
+        later life, since its owner is told that it ended with the life it was meant for.
+        """
+        headers = self._headers
         for timeout_s in START_TIMEOUTS_S:
             call = StartCall(
                 task=_name_task(request.run_id),
@@ -96,7 +101,7 @@
                 fence=self._fence,
             )
             try:
-                response = await self._call(START_PATH, call, timeout_s)
+                response = await self._call(START_PATH, call, timeout_s, headers)
             except HttpFailure:
                 # Counted and logged by the caller once all tries are over.
                 continue
@@ -110,7 +115,7 @@
         """Order a stop; return whether it was answered."""
         call = StopCall(task=_name_task(run_id), run=run_id.run, fence=self._fence)
         try:
-            response = await self._call(STOP_PATH, call, STOP_TIMEOUT_S)
+            response = await self._call(STOP_PATH, call, STOP_TIMEOUT_S, self._headers)
         except HttpFailure as failure:
             log_event("stop:unanswered", job=run_id.job_id, reason=failure.message)
             return False
@@ -145,9 +150,11 @@
             raise WorkerUnanswered(f"status {response.status}")
         return self._read_look(response, asked_at)
 
-    async def _call(self, path: str, body: msgspec.Struct, timeout_s: float) -> JsonResponse:
+    async def _call(
+        self, path: str, body: msgspec.Struct, timeout_s: float, headers: dict[str, str]
+    ) -> JsonResponse:
         return await self._orders.request(
-            "POST", self._url + path, body=body, headers=self._headers, timeout_s=timeout_s
+            "POST", self._url + path, body=body, headers=headers, timeout_s=timeout_s
         )
 
     def _renew(self) -> int:
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import SimpleNamespace
 
 from dalemast.core.scheduling import EndReason
@@ -9,7 +10,9 @@
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.emulator import EmulatedWorker
 from dalemast.fleet.base import WorkerGone, WorkerUnanswered
+from dalemast.http.client import HttpFailure
 from dalemast.platform import PlatformWorkerDriver
+from dalemast.platform.wire import EXPECTED_LIFE_HEADER
 from tests.base import AsyncTestCase
 from tests.fleet.base import find_address, make_text
 
@@ -117,6 +120,34 @@
         self.play(scenario)
 
 
+class SilentClient:
+    """Answers nothing, and lets something happen after the first request."""
+
+    def __init__(self, then: Callable[[], None]) -> None:
+        self.lives: list[str] = []
+        self._then = then
+
+    async def request(self, *args: object, headers: dict[str, str], **kwargs: object) -> None:
+        self.lives.append(headers[EXPECTED_LIFE_HEADER])
+        if len(self.lives) == 1:
+            self._then()
+        raise HttpFailure("no answer", is_unreachable=False)
+
+
+class LivesTests(AsyncTestCase):
+    def test_an_unanswered_start_is_not_said_again_to_a_later_life(self) -> None:
+        """The owner is told that the run ended with its life and starts it elsewhere."""
+        settings = SimpleNamespace(worker=SimpleNamespace(address="127.0.0.1:9"))
+        driver = PlatformWorkerDriver(settings=settings, lease_s=LEASE_S)
+        client = SilentClient(then=lambda: driver.meet(make_life("second")))
+        driver._orders = client
+        driver.meet(make_life("first"))
+        outcome = self.run_async(driver.start(make_request()))
+        self.assertIs(StartOutcome.UNANSWERED, outcome)
+        self.assertEqual({"first"}, set(client.lives))
+        self.assertGreater(len(client.lives), 1)
+
+
 def make_life(life_id: str) -> WorkerLife:
     return WorkerLife(
         id=life_id,
