Keep jobs that can still be late while a fresh owner finds its workers

Cause: after all processes are killed, entries are up 0.15 s before the first workers are known and 0.8 s before the last. Meanwhile they refused 25 draws and checks as overload with 4 of 11 workers known, and paid for refusing with workers free.

Change: until 0.2 s after the last new worker, and 2 s after its start at most, an owner keeps a job that can only be late; in every order such jobs go behind those that can be on time.

--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -15,6 +15,11 @@
 0.4 earned 0.805, 0.821 and 0.813 of what was owed, and no margin 0.796."""
 
 
+LATE_FACTOR = 3.0
+"""An answer within this many times the objective is late and still worth something to a caller;
+from the platform."""
+
+
 class TaskPhase(enum.Enum):
     """Where a task stands."""
 
@@ -61,6 +66,9 @@
         self.arrived_at = arrived_at
         self.objective_s = objective_s
         self.latest_start = arrived_at + objective_s - (1.0 + START_MARGIN) * chain_s
+        """Until when the job can begin and be on time."""
+        self.latest_late_start = self.latest_start + (LATE_FACTOR - 1.0) * objective_s
+        """Until when it can begin and be late, but of some use."""
         self.first_start_at: float | None = None
         self.runs = 0
         self.refused_starts = 0
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -41,6 +41,13 @@
 OFFER_SHARE = 0.25
 """Share of its objective for which a job may wait without a start before it is refused; beyond
 it a refusal helps nobody any more."""
+SETTLING_S = 2.0
+"""How long after its start an owner may expect further workers at most: they report every 1.5 s,
+and their agents start within about half a second of it."""
+QUIET_S = 0.2
+"""How long after the last new worker it expects more: the others' reports came within 0.6 s of each
+other. Until then a job that can only be late is kept, since room is about to be found; kept on for
+2 s, such jobs took room from those that callers send again after a loss of power."""
 RETRY_AFTER_S = (0.2, 5.0)
 """Bounds on when a refused caller is told to come back."""
 
@@ -72,6 +79,8 @@
         self._workers: dict[str, WorkerView] = {}
         self._choice = WorkerChoice(placement=placement, workers=self._workers)
         self._seen = SeenWorkers(started_at=started_at)
+        self._settling_until = started_at + SETTLING_S
+        self._found_worker_at: float | None = None
 
     @property
     def workers(self) -> dict[str, WorkerView]:
@@ -98,9 +107,10 @@
         job = self._jobs.pop(job_id, None)
         return [] if job is None else self._stop_all(job)
 
-    def add_worker(self, view: WorkerView) -> None:
+    def add_worker(self, view: WorkerView, *, now: float) -> None:
         """Take in a worker that its agent announced."""
         self._workers[view.name] = view
+        self._found_worker_at = now
         self._seen.add(view)
 
     def update_worker(self, name: str, report: RoomReport, *, now: float) -> list[Action]:
@@ -282,14 +292,20 @@
         job.leave_worker(task)
         job.set_waiting(task)
 
+    def _is_overdue(self, job: Job, now: float) -> bool:
+        """Tell whether it is time to refuse a job."""
+        if job.has_begun or now - job.arrived_at <= OFFER_SHARE * job.objective_s:
+            return False
+        return now > (job.latest_late_start if self._is_settling(now) else job.latest_start)
+
+    def _is_settling(self, now: float) -> bool:
+        """Tell whether this owner has just started and is still finding workers."""
+        if now >= self._settling_until:
+            return False
+        return self._found_worker_at is None or now < self._found_worker_at + QUIET_S
+
     def _refuse_overdue(self, now: float) -> list[Action]:
-        overdue = [
-            job
-            for job in self._jobs.values()
-            if not job.has_begun
-            and now > job.latest_start
-            and now - job.arrived_at > OFFER_SHARE * job.objective_s
-        ]
+        overdue = [job for job in self._jobs.values() if self._is_overdue(job, now)]
         if not overdue:
             return []
         has_workers = any(view.is_accepting for view in self._workers.values())
--- a/dalemast/emulator/simulation.py
+++ b/dalemast/emulator/simulation.py
@@ -148,7 +148,7 @@
 
     def add_view(self, owner: int, view: WorkerView) -> None:
         """Let an owner know a worker."""
-        self._owners[owner].add_worker(view)
+        self._owners[owner].add_worker(view, now=self._now)
 
     def _submit(self, arrival: Arrival, owner: int) -> None:
         self._apply(owner, self._owners[owner].submit(arrival.request, now=self._now))
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -223,7 +223,7 @@
         )
         session.worker = news.id
         self._by_worker[news.id] = session
-        self._scheduler.add_worker(view)
+        self._scheduler.add_worker(view, now=time.monotonic())
         listed = [(row.job, TaskKey(row.step, row.position), row.run) for row in session.runs]
         session.runs = ()
         log_event("worker:in-reach", worker=news.id, agent=hello.name, cpu=news.cpu)
--- a/tests/core/scheduling/base.py
+++ b/tests/core/scheduling/base.py
@@ -63,6 +63,7 @@
         labels: tuple[str, ...] = (),
         service: str = "floor",
         is_near: bool = True,
+        now: float = 10.0,
     ) -> list[Action]:
         capacity = Resources(cpu=cpu, memory_mb=65536)
         self.scheduler.add_worker(
@@ -72,10 +73,11 @@
                 capacity=capacity,
                 labels=frozenset(labels),
                 is_near=is_near,
-            )
+            ),
+            now=now,
         )
         report = RoomReport(seen=0, free=capacity, is_accepting=True)
-        return self.scheduler.update_worker(name, report, now=10.0)
+        return self.scheduler.update_worker(name, report, now=now)
 
     def end(self, start: StartTask, reason: EndReason, now: float = 10.1) -> list[Action]:
         return self.scheduler.end_run(
--- a/tests/core/scheduling/test_properties.py
+++ b/tests/core/scheduling/test_properties.py
@@ -68,7 +68,8 @@
                 capacity=CAPACITY,
                 labels=frozenset(),
                 is_near=True,
-            )
+            ),
+            now=self.now,
         )
 
     def report(self, name: str) -> None:
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -16,6 +16,9 @@
     make_step,
 )
 
+OBJECTIVE_S = 0.22
+"""Of the jobs below: a stretch of 1.6 over 0.1 s, and 0.06 s."""
+
 
 class StartTests(SchedulerTestCase):
     def test_all_tasks_start_while_there_is_room(self) -> None:
@@ -174,6 +177,26 @@
 
 
 class RefusalTests(SchedulerTestCase):
+    def test_a_young_owner_keeps_what_can_still_be_late_until_it_knows_its_workers(self) -> None:
+        """After a restart workers become known within 0.6 s; draws were refused meanwhile."""
+        scheduler = self.scheduler
+        self.assertEqual([], scheduler.submit(make_job("a"), now=0.1))
+        self.assertEqual([], get_refused(scheduler.tick(now=0.1 + 2 * OBJECTIVE_S)))
+        self.assertEqual(1, len(get_starts(self.add_worker("w"))))
+
+    def test_a_young_owner_refuses_what_can_not_even_be_late(self) -> None:
+        self.scheduler.submit(make_job("a"), now=0.1)
+        (refused,) = get_refused(self.scheduler.tick(now=0.1 + 3 * OBJECTIVE_S))
+        self.assertIs(RefusalCause.NO_WORKERS, refused.cause)
+
+    def test_a_job_that_can_only_be_late_waits_behind_those_that_can_be_on_time(self) -> None:
+        scheduler = self.scheduler
+        scheduler.submit(make_job("late"), now=0.1)
+        scheduler.submit(make_job("in-time"), now=0.5)
+        self.assertEqual([], get_refused(scheduler.tick(now=0.5)))
+        (start,) = get_starts(self.add_worker("w", cpu=1000, now=0.5))
+        self.assertEqual("in-time", start.job.id)
+
     def test_a_job_that_can_not_be_on_time_is_refused_with_a_time_to_come_back(self) -> None:
         self.add_worker("w1", cpu=1000)
         self.scheduler.submit(make_job("a"), now=10.0)
