Say what was free when a job was refused

Cause: "overload" did not tell full workers from idle ones that were left alone as too slow.

Change: a refusal's line has the workers in reach, what the job's largest task takes and the most that was free on one of them.

Tried and not kept: overdue jobs may use slow workers if they can still be late there.

Measured: 24 tests of the scheduler pass, one of them with the new fields.

--- a/dalemast/core/scheduling/actions.py
+++ b/dalemast/core/scheduling/actions.py
@@ -94,13 +94,21 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobRefused:
-    """A job of which no task was ever started is given up. ``retry_after_s`` is in seconds."""
+    """A job of which no task was ever started is given up. ``retry_after_s`` is in seconds.
+
+    ``workers`` of its service were in reach. ``needed_cpu`` is what its largest waiting task takes
+    and ``free_cpu`` the most that was free on one accepting worker, or -1 without any; both count
+    thousandths of a core.
+    """
 
     job: JobRequest
     cause: RefusalCause
     retry_after_s: float
     waited_s: float
     waiting_jobs: int
+    workers: int
+    needed_cpu: int
+    free_cpu: int
 
 
 Action = StartTask | StopTask | JobFinished | JobRefused
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -308,23 +308,32 @@
         overdue = [job for job in self._jobs.values() if self._is_overdue(job, now)]
         if not overdue:
             return []
-        has_workers = any(view.is_accepting for view in self._workers.values())
-        cause = RefusalCause.OVERLOAD if has_workers else RefusalCause.NO_WORKERS
+        most_free = self._choice.get_most_free()
         waiting_jobs = sum(not job.has_begun for job in self._jobs.values())
         retry_after_s = self._get_retry_after_s()
-        actions: list[Action] = []
         for job in overdue:
             del self._jobs[job.request.id]
-            actions.append(
-                JobRefused(
-                    job=job.request,
-                    cause=cause,
-                    retry_after_s=retry_after_s,
-                    waited_s=now - job.arrived_at,
-                    waiting_jobs=waiting_jobs,
-                )
-            )
-        return actions
+        return [self._refuse(job, most_free, retry_after_s, waiting_jobs, now) for job in overdue]
+
+    def _refuse(
+        self,
+        job: Job,
+        most_free: dict[str, int],
+        retry_after_s: float,
+        waiting_jobs: int,
+        now: float,
+    ) -> JobRefused:
+        service = job.request.queue.service
+        return JobRefused(
+            job=job.request,
+            cause=RefusalCause.OVERLOAD if most_free else RefusalCause.NO_WORKERS,
+            retry_after_s=retry_after_s,
+            waited_s=now - job.arrived_at,
+            waiting_jobs=waiting_jobs,
+            workers=sum(view.service == service for view in self._workers.values()),
+            needed_cpu=max((task.step.resources.cpu for task in job.waiting), default=0),
+            free_cpu=most_free.get(service, -1),
+        )
 
     def _get_retry_after_s(self) -> float:
         """Return the time in which the waiting work would be done by the workers in reach."""
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -243,6 +243,9 @@
             cause=action.cause.value,
             waited_s=round(action.waited_s, 3),
             waiting_jobs=action.waiting_jobs,
+            workers=action.workers,
+            needed_cpu=action.needed_cpu,
+            free_cpu=action.free_cpu,
             retry_after_s=round(action.retry_after_s, 3),
         )
         if job is not None:
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -206,6 +206,7 @@
         self.assertEqual("b", refused.job.id)
         self.assertIs(RefusalCause.OVERLOAD, refused.cause)
         self.assertGreater(refused.retry_after_s, 0.0)
+        self.assertEqual((1, 1000, 0), (refused.workers, refused.needed_cpu, refused.free_cpu))
 
     def test_a_job_with_a_start_is_never_refused(self) -> None:
         self.add_worker("w1", cpu=1000)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,8 @@
 877342 ran a task on two workers for a moment: an agent's new life listed no runs, since it had not
 looked at its worker yet, and the owner took what was not listed as over.
 88993, 914339 and 517246, at 15 s and 4 workers, told of two runs since the proxy delivered bytes
-whose sender had reset the connection: tests/soak/test_proxy.py. 640687: tests/emulator/test_worker.py.
+whose sender had reset the connection: tests/soak/test_proxy.py.
+640687: tests/emulator/test_worker.py.
 """
 SECONDS = 6.0
 
