Tell all owners the pace at which a worker runs, and count distance from data out

Change: an agent's room report carries the mean pace of all jobs on its worker; from 2.2 times on an owner takes it as evidence. Expected times sent to agents, and what is learned from ended runs, allow for the platform's factor for tasks away from their data.

New tests: PaceTests, DistanceTests.

--- a/dalemast/core/scheduling/base.py
+++ b/dalemast/core/scheduling/base.py
@@ -28,3 +28,7 @@
         self, *, job: Job, step: StepRequest, workers: Iterable[WorkerView], now: float
     ) -> WorkerView | None:
         """Return one of the workers that have room for the task, or None if none suits."""
+
+    def get_run_factor(self, step: StepRequest, worker: WorkerView) -> float:
+        """Return how many times as long a task takes on this worker as beside its data."""
+        return 1.0
--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -50,6 +50,9 @@
         self.worker = ""
         self.placed_at = 0.0
         self.expected_s = 0.0
+        """Its expected run time beside its data."""
+        self.run_factor = 1.0
+        """How many times as long it takes where it runs, for its distance from its data."""
         self.failures = 0
         self.avoided: set[str] = set()
         self.free_at = 0.0
@@ -102,7 +105,9 @@
         task.worker = ""
         self.waiting.append(task)
 
-    def set_placed(self, task: Task, *, worker: str, now: float, expected_s: float) -> None:
+    def set_placed(
+        self, task: Task, *, worker: str, now: float, expected_s: float, run_factor: float
+    ) -> None:
         """Note that a task is being sent to a worker."""
         self.waiting.remove(task)
         task.phase = TaskPhase.PLACED
@@ -110,6 +115,7 @@
         task.run += 1
         task.placed_at = now
         task.expected_s = expected_s
+        task.run_factor = run_factor
         self.runs += 1
         self.workers[worker] = self.workers.get(worker, 0) + 1
         if self.first_start_at is None:
--- a/dalemast/core/scheduling/paces.py
+++ b/dalemast/core/scheduling/paces.py
@@ -30,12 +30,13 @@
     A declared time says little of one run, since it may simply be a long one. Tasks of the same
     step that have ended say much: they differ by about 15 %.
     """
+    total_s = report.total_s / task.run_factor
     if report.is_stalled:
-        return max(_get_ratio(report.total_s, task.expected_s), SLOW_PACE)
+        return max(_get_ratio(total_s, task.expected_s), SLOW_PACE)
     sibling_s = _get_sibling_s(job, task)
     if sibling_s is None:
         return report.worker_pace
-    return _get_ratio(report.total_s, sibling_s)
+    return _get_ratio(total_s, sibling_s)
 
 
 def compare_run(job: Job, task: Task, run_s: float) -> float:
@@ -43,10 +44,11 @@
 
     Without them it is compared with the expected time and bounded: it may be a long job.
     """
+    local_s = run_s / task.run_factor
     sibling_s = _get_sibling_s(job, task)
     if sibling_s is None:
-        return min(_get_ratio(run_s, task.expected_s), LONGEST_UNPROVED)
-    return _get_ratio(run_s, sibling_s)
+        return min(_get_ratio(local_s, task.expected_s), LONGEST_UNPROVED)
+    return _get_ratio(local_s, sibling_s)
 
 
 def is_move_worth_while(report: SlowRun, *, pace: float, elsewhere: WorkerView, now: float) -> bool:
--- a/dalemast/core/scheduling/placements.py
+++ b/dalemast/core/scheduling/placements.py
@@ -36,10 +36,13 @@
 
         return min(workers, key=get_cost, default=None)
 
+    def get_run_factor(self, step: StepRequest, worker: WorkerView) -> float:
+        """Return the platform's factor for a worker that is not on the rack with the data."""
+        is_remote = bool(step.data_rack) and step.data_rack not in worker.labels
+        return self._remote_factor if is_remote else 1.0
+
     def _get_cost(self, job: Job, step: StepRequest, worker: WorkerView, now: float) -> float:
-        cost = worker.get_slowness(now)
-        if step.data_rack and step.data_rack not in worker.labels:
-            cost *= self._remote_factor
+        cost = worker.get_slowness(now) * self.get_run_factor(step, worker)
         if not worker.is_near:
             cost += FAR_PENALTY
         if worker.name in job.workers:
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -77,6 +77,7 @@
         self._least_waiting_cpu = 0
         """A report of less room than this changes nothing for the tasks that wait."""
         self._workers: dict[str, WorkerView] = {}
+        self._placement = placement
         self._choice = WorkerChoice(placement=placement, workers=self._workers)
         self._seen = SeenWorkers(started_at=started_at)
         self._settling_until = started_at + SETTLING_S
@@ -119,6 +120,9 @@
         if view is None:
             return []
         view.update(report)
+        if report.pace >= SLOW_PACE:
+            # All owners' runs tell of it, so an owner need not lose tasks there to learn it.
+            view.learn_slowness(report.pace, now=now, weight=PACE_WEIGHT)
         if not view.is_accepting or view.free.cpu < self._least_waiting_cpu:
             return []
         return self.dispatch(now=now)
@@ -239,14 +243,17 @@
     def _start(self, job: Job, task: Task, view: WorkerView, now: float) -> StartTask:
         queue = job.request.queue
         expected_s = self._run_times.expect(queue=queue.name, declared_s=task.step.estimate_s)
+        run_factor = self._placement.get_run_factor(task.step, view)
         number = view.take(task.step.resources)
-        job.set_placed(task, worker=view.name, now=now, expected_s=expected_s)
+        job.set_placed(
+            task, worker=view.name, now=now, expected_s=expected_s, run_factor=run_factor
+        )
         return StartTask(
             worker=view.name,
             job=job.request,
             task=task.key,
             run=task.run,
-            expected_s=expected_s,
+            expected_s=expected_s * run_factor,
             number=number,
         )
 
@@ -256,12 +263,13 @@
         if view is not None:
             view.learn_slowness(compare_run(job, task, run_s), now=now)
             slowness = view.get_slowness(now)
+        usual_s = run_s / (slowness * task.run_factor)
         self._run_times.learn(
             queue=job.request.queue.name,
             declared_s=task.step.estimate_s,
-            actual_s=run_s / slowness,
+            actual_s=usual_s,
         )
-        job.run_times.setdefault(task.key.step, []).append(run_s / slowness)
+        job.run_times.setdefault(task.key.step, []).append(usual_s)
         job.set_done(task)
         if job.is_done:
             return [self._finish(job, JobState.SUCCEEDED, "", now), *self.dispatch(now=now)]
--- a/dalemast/core/scheduling/workers.py
+++ b/dalemast/core/scheduling/workers.py
@@ -24,12 +24,15 @@
     """An agent's word on its worker.
 
     ``seen`` is the number of the last start of this owner that ``free`` takes account of.
-    ``is_accepting`` is false while the worker leaves or its agent doubts it.
+    ``is_accepting`` is false while the worker leaves or its agent doubts it. ``pace`` is the mean
+    over the jobs that run there now of their whole run times at their pace over the expected ones,
+    or 0 if there are too few to tell.
     """
 
     seen: int
     free: Resources
     is_accepting: bool
+    pace: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -113,6 +113,10 @@
             free -= run.request.resources
         return free
 
+    def get_pace(self, *, now: float) -> float:
+        """Return the mean pace of the jobs that run, or 0 if they are too few to tell."""
+        return get_mean_pace(self._runs.values(), now)
+
     def is_accepting(self, *, now: float) -> bool:
         """Tell whether starts are taken."""
         if self._life is None or self._life.is_leaving or self._is_draining:
@@ -297,7 +301,7 @@
                 run_id=run.request.run_id,
                 age_s=age_s,
                 total_s=total_s,
-                worker_pace=get_mean_pace(self._runs.values(), now),
+                worker_pace=self.get_pace(now=now),
                 is_stalled=is_stalled,
             )
         ]
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -243,6 +243,7 @@
             seen=news.seen,
             free=Resources(cpu=news.cpu, memory_mb=news.memory_mb, gpu=news.gpu),
             is_accepting=news.is_accepting,
+            pace=news.pace,
         )
         now = time.monotonic()
         self._apply(self._scheduler.update_worker(session.worker, report, now=now))
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -133,13 +133,14 @@
 
 
 class RoomNews(Message, frozen=True, tag="R"):
-    """What is free, having seen this owner's start ``seen``."""
+    """What is free, having seen this owner's start ``seen``; as in ``RoomReport``."""
 
     seen: int
     cpu: int
     memory_mb: int
     gpu: int
     is_accepting: bool
+    pace: float = 0.0
 
 
 class RunEnded(Message, frozen=True, tag="E"):
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -176,6 +176,41 @@
         self.assertEqual(1, len(get_stops(self.scheduler.cancel("a"))))
 
 
+class PaceTests(SchedulerTestCase):
+    def test_a_worker_that_its_agent_calls_slow_gets_no_tasks(self) -> None:
+        """Each of ten owners lost tasks on seven slow workers before it knew them."""
+        self.add_worker("slow", cpu=8000)
+        self.add_worker("quick", cpu=8000, is_near=False)
+        free = Resources(cpu=8000, memory_mb=65536)
+        for now in (10.0, 10.1, 10.2):
+            report = RoomReport(seen=0, free=free, is_accepting=True, pace=6.0)
+            self.scheduler.update_worker("slow", report, now=now)
+        starts = get_starts(self.scheduler.submit(make_job("a", make_step(4)), now=10.3))
+        self.assertEqual({"quick"}, {start.worker for start in starts})
+
+    def test_a_pace_within_the_error_of_declared_times_says_nothing(self) -> None:
+        self.add_worker("w")
+        free = Resources(cpu=4000, memory_mb=65536)
+        report = RoomReport(seen=0, free=free, is_accepting=True, pace=2.0)
+        self.scheduler.update_worker("w", report, now=10.0)
+        self.assertEqual(1.0, self.scheduler.workers["w"].get_slowness(10.0))
+
+
+class DistanceTests(SchedulerTestCase):
+    def test_a_run_away_from_its_data_is_not_taken_for_a_slow_worker(self) -> None:
+        self.add_worker("w", labels=("r2",))
+        step = make_step(2, data_rack="r1")
+        first, second = get_starts(self.scheduler.submit(make_job("a", step), now=10.0))
+        self.assertAlmostEqual(1.5 * step.estimate_s, first.expected_s)
+        for start in (first, second):
+            self.scheduler.end_run(
+                "w", "a", start.task, start.run, EndReason.DONE, run_s=0.15, now=10.15
+            )
+        self.assertAlmostEqual(1.0, self.scheduler.workers["w"].get_slowness(10.15))
+        (near,) = get_starts(self.scheduler.submit(make_job("b"), now=10.2))
+        self.assertAlmostEqual(step.estimate_s, near.expected_s)
+
+
 class RefusalTests(SchedulerTestCase):
     def test_a_young_owner_keeps_what_can_still_be_late_until_it_knows_its_workers(self) -> None:
         """After a restart workers become known within 0.6 s; draws were refused meanwhile."""
