Look at the workers once for all choices of an event

Cause: under overload each task that waits was compared with every worker, 50 times on average, and room on workers that are too slow for any task let all of them be compared again and again.

Change: ChoiceRound finds once an event which workers accept and are quick enough, and keeps the most that is free until a start. What is chosen is the same.

--- a/dalemast/core/scheduling/choices.py
+++ b/dalemast/core/scheduling/choices.py
@@ -8,7 +8,7 @@
 from dalemast.core.scheduling.jobs import Job, Task
 from dalemast.core.scheduling.workers import WorkerView
 
-__all__ = ["WorkerChoice"]
+__all__ = ["ChoiceRound", "WorkerChoice"]
 
 TOO_SLOW = 2.0
 """How many times slower than the best a worker may be before it gets no tasks: most would be late
@@ -16,66 +16,99 @@
 
 
 class WorkerChoice:
-    """Leaves out workers that don't suit a task and lets the placement pick one of the rest.
-
-    ``workers`` are the workers in reach, by id; the scheduler adds to them and takes away.
-    """
+    """The workers in reach, by id; the scheduler adds to them and takes away."""
 
     def __init__(self, *, placement: BasePlacement, workers: Mapping[str, WorkerView]) -> None:
         self._placement = placement
         self._workers = workers
 
-    def choose(self, job: Job, task: Task, *, now: float) -> WorkerView | None:
-        """Return the worker to start a task on, or None if it should wait."""
-        fitting = [view for view in self._workers.values() if _can_take(job, task, view)]
-        workers = self._pick_quick(fitting, now)
-        if task.avoided and self._has_alternative(job, task):
-            # A task has few attempts: it waits for another worker to have room rather than fail
-            # on the same one again.
-            workers = [view for view in workers if view.name not in task.avoided]
-        return self._placement.choose(job=job, step=task.step, workers=workers, now=now)
+    def begin(self, *, now: float) -> ChoiceRound:
+        """Return the workers as they stand now, for the choices that one event brings."""
+        return ChoiceRound(placement=self._placement, workers=self._workers, now=now)
 
     def get_most_free(self) -> dict[str, int]:
-        """Return the most processors that are free on one worker, by service."""
+        """Return the most processors that are free on one worker, slow ones too, by service."""
         most: dict[str, int] = {}
         for view in self._workers.values():
             if view.is_accepting:
                 most[view.service] = max(most.get(view.service, -1), view.free.cpu)
         return most
 
+
+class ChoiceRound:
+    """Leaves out workers that don't suit a task and lets the placement pick one of the rest.
+
+    What no choice of the round changes, which workers accept and which are too slow, is looked at
+    once for all of them: under overload most tasks that wait find nothing, again and again.
+    """
+
+    def __init__(
+        self, *, placement: BasePlacement, workers: Mapping[str, WorkerView], now: float
+    ) -> None:
+        self._placement = placement
+        self._workers = workers
+        self._now = now
+        self._accepting: dict[str, list[WorkerView]] = {}
+        self._quick: dict[str, list[WorkerView]] = {}
+        self._most_free: dict[str, int] = {}
+
+    def get_most_free(self, service: str) -> int:
+        """Return the most processors that are free on one worker that a choice may pick, or -1."""
+        most = self._most_free.get(service)
+        if most is None:
+            most = max((view.free.cpu for view in self._get_quick(service)), default=-1)
+            self._most_free[service] = most
+        return most
+
+    def note_start(self, service: str) -> None:
+        """Note that room was taken on one of a service's workers."""
+        self._most_free.pop(service, None)
+
+    def choose(self, job: Job, task: Task) -> WorkerView | None:
+        """Return the worker to start a task on, or None if it should wait."""
+        quick = self._get_quick(job.request.queue.service)
+        workers = [view for view in quick if _has_room(job, task, view)]
+        if task.avoided and self._has_alternative(job, task):
+            # A task has few attempts: it waits for another worker to have room rather than fail
+            # on the same one again.
+            workers = [view for view in workers if view.name not in task.avoided]
+        return self._placement.choose(job=job, step=task.step, workers=workers, now=self._now)
+
     def _has_alternative(self, job: Job, task: Task) -> bool:
         """Tell whether a worker could take a task, with room or without, that did not fail it."""
         return any(
             view.name not in task.avoided
-            and _suits(job, task, view)
+            and _has_label(task, view)
             and task.step.resources.fits(view.capacity)
-            for view in self._workers.values()
+            for view in self._accepting[job.request.queue.service]
         )
 
-    def _pick_quick(self, fitting: list[WorkerView], now: float) -> list[WorkerView]:
+    def _get_quick(self, service: str) -> list[WorkerView]:
         """Leave out workers on which tasks would be late, compared with the best of the service.
 
         Compared, since declared times that are off for all alike make all workers look slow.
         """
-        if not fitting:
-            return fitting
-        service = fitting[0].service
-        pool = (view for view in self._workers.values() if view.service == service)
-        best = min(view.get_slowness(now) for view in pool)
-        return [view for view in fitting if view.get_slowness(now) < TOO_SLOW * best]
-
-
-def _suits(job: Job, task: Task, view: WorkerView) -> bool:
-    """Tell whether a worker takes tasks of this kind, whether or not it has room."""
-    if not view.is_accepting or view.service != job.request.queue.service:
-        return False
+        quick = self._quick.get(service)
+        if quick is not None:
+            return quick
+        pool = [view for view in self._workers.values() if view.service == service]
+        slowest = TOO_SLOW * min((view.get_slowness(self._now) for view in pool), default=1.0)
+        accepting = [view for view in pool if view.is_accepting]
+        quick = [view for view in accepting if view.get_slowness(self._now) < slowest]
+        self._accepting[service] = accepting
+        self._quick[service] = quick
+        return quick
+
+
+def _has_label(task: Task, view: WorkerView) -> bool:
+    """Tell whether a worker has the label that a task requires."""
     return not task.step.label or task.step.label in view.labels
 
 
-def _can_take(job: Job, task: Task, view: WorkerView) -> bool:
+def _has_room(job: Job, task: Task, view: WorkerView) -> bool:
     """Tell whether a worker has room for a task now."""
     step = task.step
-    if not _suits(job, task, view) or not step.resources.fits(view.free):
+    if not step.resources.fits(view.free) or not _has_label(task, view):
         return False
     limit = step.max_per_worker
     return not limit or job.count_on(view.name, task.key.step) < limit
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -199,7 +199,7 @@
             return []
         view.learn_slowness(pace, now=now, weight=PACE_WEIGHT)
         if not report.is_stalled:
-            elsewhere = self._choice.choose(job, task, now=now)
+            elsewhere = self._choice.begin(now=now).choose(job, task)
             if elsewhere is None or elsewhere.name == task.worker:
                 return []
             if not is_move_worth_while(report, pace=pace, elsewhere=elsewhere, now=now):
@@ -223,19 +223,19 @@
         self._least_waiting_cpu = 0
         if not waiting:
             return []
-        # Most calls come while all workers are full, and start nothing.
-        most_free = self._choice.get_most_free()
+        choices = self._choice.begin(now=now)
         waiting.sort(key=lambda job: self._order.get_key(job, now=now))
         actions: list[Action] = []
         for job in waiting:
             service = job.request.queue.service
             for task in list(job.waiting):
-                if task.step.resources.cpu > most_free.get(service, -1):
+                # Most calls come while all workers are full, and start nothing.
+                if task.step.resources.cpu > choices.get_most_free(service):
                     break
-                view = self._choice.choose(job, task, now=now)
+                view = choices.choose(job, task)
                 if view is not None:
                     actions.append(self._start(job, task, view, now))
-                    most_free = self._choice.get_most_free()
+                    choices.note_start(service)
         left = (task.step.resources.cpu for job in waiting for task in job.waiting)
         self._least_waiting_cpu = min(left, default=0)
         return actions
--- /dev/null
+++ b/tests/core/scheduling/test_choices.py
@@ -0,0 +1,57 @@
+"""Choices of a worker: what one round looks at once, and when it looks again."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from dalemast.core.scheduling import FastestPlacement, RoomReport, WorkerView
+from dalemast.core.scheduling.choices import ChoiceRound
+from dalemast.core.scheduling.jobs import Job
+from dalemast.core.workloads import Resources, TaskKey
+from tests.core.scheduling.base import make_job, make_step
+
+NOW = 10.0
+
+
+def make_view(name: str, *, cpu: int, slowness: float = 1.0) -> WorkerView:
+    capacity = Resources(cpu=cpu, memory_mb=65536)
+    view = WorkerView(
+        name=name, service="floor", capacity=capacity, labels=frozenset(), is_near=True
+    )
+    view.update(RoomReport(seen=0, free=capacity, is_accepting=True))
+    view.learn_slowness(slowness, now=NOW, weight=1.0)
+    return view
+
+
+def make_round(*views: WorkerView) -> ChoiceRound:
+    return ChoiceRound(
+        placement=FastestPlacement(remote_factor=1.5),
+        workers={view.name: view for view in views},
+        now=NOW,
+    )
+
+
+class ChoiceRoundTests(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        request = make_job("a", make_step(2))
+        self.job = Job(request=request, arrived_at=NOW, objective_s=1.0, chain_s=0.1)
+        self.task = self.job.tasks[TaskKey(0, 0)]
+
+    def test_room_on_a_worker_that_is_too_slow_does_not_count(self) -> None:
+        choices = make_round(make_view("full", cpu=500), make_view("slow", cpu=9000, slowness=5.0))
+        self.assertEqual(500, choices.get_most_free("floor"))
+        self.assertIsNone(choices.choose(self.job, self.task))
+
+    def test_a_service_without_workers_has_no_room(self) -> None:
+        self.assertEqual(-1, make_round().get_most_free("floor"))
+
+    def test_room_is_looked_at_again_after_a_start(self) -> None:
+        view = make_view("w", cpu=1500)
+        choices = make_round(view)
+        self.assertEqual(1500, choices.get_most_free("floor"))
+        self.assertIs(view, choices.choose(self.job, self.task))
+        view.take(self.task.step.resources)
+        choices.note_start("floor")
+        self.assertEqual(500, choices.get_most_free("floor"))
+        self.assertIsNone(choices.choose(self.job, self.task))
