Give the simulation a command of its own

Cause: the simulation had no runner in the repository, so its figures could not be had again.

Change: `make policies` plays loads and seeds and prints worth, ends by kind, room reports and time.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 BENCH ?= short
 
-.PHONY: setup demo serve test format bench soak fleet-soak plots binary capacity docs
+.PHONY: setup demo serve test format bench soak fleet-soak plots policies binary capacity docs
 
 setup: $(VENV)/.installed
 
@@ -42,6 +42,9 @@
 plots: setup
 	$(BIN)/python -m dalemast.bench.plots $(if $(LOG),--log $(LOG))
 
+policies: setup
+	$(BIN)/python -m dalemast.bench.policies $(ARGS)
+
 capacity: setup
 	$(BIN)/python -m dalemast.bench.capacity --check
 
