Give the refusal of waiting jobs a module of its own

`Refusals` in core/scheduling/refusals.py now holds them, beside hopeless.py; the scheduler tells it of workers found and forgets the jobs that it names. The blank lines around LATE_FACTOR are as for other constants.

No behaviour changed.

--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -8,13 +8,10 @@
 
 __all__ = ["ON_WORKER", "Job", "Task", "TaskPhase"]
 
-
 START_MARGIN = 0.25
 """Share of a job's expected chain by which it must begin earlier than it could, since its slowest
 task and workers take longer than the mean. By simulation at 1.7 times the usual load, 0.1, 0.25 and
 0.4 earned 0.805, 0.821 and 0.813 of what was owed, and no margin 0.796."""
-
-
 LATE_FACTOR = 3.0
 """An answer within this many times the objective is late and still worth something to a caller;
 from the platform."""
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -15,9 +15,7 @@
     Action,
     EndReason,
     JobFinished,
-    JobRefused,
     JobState,
-    RefusalCause,
     StartTask,
     StopTask,
 )
@@ -33,24 +31,12 @@
     is_move_worth_while,
     judge_pace,
 )
+from dalemast.core.scheduling.refusals import Refusals
 from dalemast.core.scheduling.workers import RoomReport, SlowRun, WorkerView
 from dalemast.core.workloads import JobRequest, TaskKey
 
 __all__ = ["Scheduler", "SchedulerLimits"]
 
-OFFER_SHARE = 0.25
-"""Share of its objective for which a job may wait without a start before it is refused; beyond
-it a refusal helps nobody any more."""
-SETTLING_S = 2.0
-"""How long after its start an owner may expect further workers at most: they report every 1.5 s,
-and their agents start within about half a second of it."""
-QUIET_S = 0.2
-"""How long after the last new worker it expects more: the others' reports came within 0.6 s of each
-other. Until then a job that can only be late is kept, since room is about to be found; kept on for
-2 s, such jobs took room from those that callers send again after a loss of power."""
-RETRY_AFTER_S = (0.2, 5.0)
-"""Bounds on when a refused caller is told to come back."""
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SchedulerLimits:
@@ -80,8 +66,9 @@
         self._placement = placement
         self._choice = WorkerChoice(placement=placement, workers=self._workers)
         self._seen = SeenWorkers(started_at=started_at)
-        self._settling_until = started_at + SETTLING_S
-        self._found_worker_at: float | None = None
+        self._refusals = Refusals(
+            jobs=self._jobs, workers=self._workers, choice=self._choice, started_at=started_at
+        )
 
     @property
     def workers(self) -> dict[str, WorkerView]:
@@ -111,7 +98,7 @@
     def add_worker(self, view: WorkerView, *, now: float) -> None:
         """Take in a worker that its agent announced."""
         self._workers[view.name] = view
-        self._found_worker_at = now
+        self._refusals.note_found_worker(now=now)
         self._seen.add(view)
 
     def update_worker(self, name: str, report: RoomReport, *, now: float) -> list[Action]:
@@ -300,57 +287,11 @@
         job.leave_worker(task)
         job.set_waiting(task)
 
-    def _is_overdue(self, job: Job, now: float) -> bool:
-        """Tell whether it is time to refuse a job."""
-        if job.has_begun or now - job.arrived_at <= OFFER_SHARE * job.objective_s:
-            return False
-        return now > (job.latest_late_start if self._is_settling(now) else job.latest_start)
-
-    def _is_settling(self, now: float) -> bool:
-        """Tell whether this owner has just started and is still finding workers."""
-        if now >= self._settling_until:
-            return False
-        return self._found_worker_at is None or now < self._found_worker_at + QUIET_S
-
     def _refuse_overdue(self, now: float) -> list[Action]:
-        overdue = [job for job in self._jobs.values() if self._is_overdue(job, now)]
-        if not overdue:
-            return []
-        most_free = self._choice.get_most_free()
-        waiting_jobs = sum(not job.has_begun for job in self._jobs.values())
-        retry_after_s = self._get_retry_after_s()
-        for job in overdue:
-            del self._jobs[job.request.id]
-        return [self._refuse(job, most_free, retry_after_s, waiting_jobs, now) for job in overdue]
-
-    def _refuse(
-        self,
-        job: Job,
-        most_free: dict[str, int],
-        retry_after_s: float,
-        waiting_jobs: int,
-        now: float,
-    ) -> JobRefused:
-        service = job.request.queue.service
-        return JobRefused(
-            job=job.request,
-            cause=RefusalCause.OVERLOAD if most_free else RefusalCause.NO_WORKERS,
-            retry_after_s=retry_after_s,
-            waited_s=now - job.arrived_at,
-            waiting_jobs=waiting_jobs,
-            workers=sum(view.service == service for view in self._workers.values()),
-            needed_cpu=max((task.step.resources.cpu for task in job.waiting), default=0),
-            free_cpu=most_free.get(service, -1),
-        )
-
-    def _get_retry_after_s(self) -> float:
-        """Return the time in which the waiting work would be done by the workers in reach."""
-        cores = sum(view.capacity.cpu for view in self._workers.values()) / 1000
-        work = sum(job.request.core_seconds for job in self._jobs.values() if job.waiting)
-        lowest, highest = RETRY_AFTER_S
-        if not cores:
-            return highest
-        return min(max(work / cores, lowest), highest)
+        refused = self._refusals.find_due(now=now)
+        for refusal in refused:
+            del self._jobs[refusal.job.id]
+        return [*refused]
 
     def _finish(self, job: Job, state: JobState, cause: str, now: float) -> JobFinished:
         self._jobs.pop(job.request.id, None)
