Split the claims on job ids from the links between entries

The claims, their four attributes and three constants are now `JobClaims` in fleet/entry/claims.py, which the desk is given directly; a link's session is in fleet/entry/peer_sessions.py. Whether all known entries were met stays with the links, which ask them.

No behaviour changed. One test reaches the same two private attributes at their new place, ResubmissionTests.test_every_peer_that_was_asked_for_an_id_is_told_of_its_end; what it asserts is unchanged.

--- /dev/null
+++ b/dalemast/fleet/entry/peer_sessions.py
@@ -0,0 +1,41 @@
+"""The links between entries, as this entry sees each one."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from dalemast.fleet.base import Member
+from dalemast.fleet.frames import PeerMessage
+from dalemast.fleet.links import Link
+
+__all__ = ["PeerSession", "PeerSessionOwner"]
+
+
+class PeerSessionOwner(Protocol):
+    """Takes what happens on a link."""
+
+    def take(self, session: PeerSession, message: PeerMessage) -> None:
+        """Take in one message."""
+
+    def end_session(self, session: PeerSession) -> None:
+        """Note that a link has ended."""
+
+
+class PeerSession:
+    """One link with another entry, dialled or accepted."""
+
+    def __init__(self, *, link: Link, owner: PeerSessionOwner, is_dialled: bool) -> None:
+        self.link = link
+        self.is_dialled = is_dialled
+        self.member: Member | None = None
+        self.is_ending = False
+        self._owner = owner
+
+    def receive(self, messages: list[PeerMessage]) -> None:
+        """Take in a frame."""
+        for message in messages:
+            self._owner.take(self, message)
+
+    def close(self) -> None:
+        """Note that the link has ended."""
+        self._owner.end_session(self)
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -84,7 +84,7 @@
             jobs=self._desk,
             tell_agents=self._agents.tell_members,
         )
-        self._desk.set_claims(self._peers)
+        self._desk.set_claims(self._peers.claims)
         self._ingress: BaseIngress = load_backend(
             settings.backends.ingress, settings=settings, jobs=self
         )
@@ -179,7 +179,7 @@
             "is_ready": self.is_ready,
             "configuration": None if current is None else current.version,
             "open_jobs": len(self._desk),
-            "claims": self._peers.kept_claims,
+            "claims": len(self._peers.claims),
             "peers": self._peers.peers,
             "workers": {
                 view.name: {
--- a/tests/fleet/test_path.py
+++ b/tests/fleet/test_path.py
@@ -166,14 +166,14 @@
     def test_every_peer_that_was_asked_for_an_id_is_told_of_its_end(self) -> None:
         async def scenario() -> None:
             async with LocalFleet(entries=3, workers=1) as fleet:
-                peers = fleet.entries[0]._peers
+                claims = fleet.entries[0]._peers.claims
                 # As after the loss of a peer that was this id's home: all the others are asked.
                 lost = next(f"l{n}" for n in range(99) if is_home(f"l{n}", JOB, fleet))
-                peers._lost_until[lost] = float("inf")
+                claims._lost_until[lost] = float("inf")
                 job = asyncio.ensure_future(fleet.submit(JOB, text=make_text(0.4)))
                 await wait_until(lambda: len(fleet.get_running(JOB)) == 1)
-                self.assertEqual({"entry-1", "entry-2"}, peers._asked_for[JOB])
-                peers._lost_until.clear()
+                self.assertEqual({"entry-1", "entry-2"}, claims._asked_for[JOB])
+                claims._lost_until.clear()
                 self.assertEqual(200, (await job).status)
                 await wait_until(lambda: not any(e.get_state()["claims"] for e in fleet.entries))
 
