Split the worker's reports from the agent's links with entries

What an agent tells of its worker, its life and its room, is now `WorkerReports` in fleet/agent/reports.py, and one link's session is in fleet/agent/owner_sessions.py; the links keep starts, stops, ends, beats and silence. The keeper of an entry's peer sessions is named alike, since "owner" means the owner of jobs here.

No behaviour changed.

--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -1,4 +1,4 @@
-"""The agent's links with entries: it dials every entry that it hears of."""
+"""The agent's links with entries: starts and stops come in, ends and slow runs go out."""
 
 from __future__ import annotations
 
@@ -9,15 +9,14 @@
 from dalemast.core.supervision import (
     ReportEnd,
     ReportSlow,
-    RoomAudience,
     RunId,
     StartRequest,
     Supervisor,
-    get_room_pause,
 )
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.fleet.agent.dialling import OwnerDialling
-from dalemast.fleet.base import Member
+from dalemast.fleet.agent.owner_sessions import OwnerSession
+from dalemast.fleet.agent.reports import WorkerReports
 from dalemast.fleet.book import AddressBook, to_member
 from dalemast.fleet.frames import (
     AgentHello,
@@ -26,46 +25,18 @@
     EntryHello,
     EntryMessage,
     MemberNews,
-    RoomNews,
     RunEnded,
     RunRow,
     RunSlow,
     Starts,
     Stop,
-    WorkerNews,
 )
-from dalemast.fleet.links import Link
 from dalemast.fleet.timing import FleetTimes
 from dalemast.observability import log_event
 
 __all__ = ["OwnerLinks"]
 
 
-class OwnerSession:
-    """One link with an entry."""
-
-    def __init__(self, *, link: Link, links: OwnerLinks) -> None:
-        self.link = link
-        self.member: Member | None = None
-        self.seen = 0
-        """The number of the last start that arrived on this link."""
-        self.audience = RoomAudience()
-        self._links = links
-
-    @property
-    def owner(self) -> str:
-        """The entry's incarnation, which owns the runs that it starts."""
-        return self.member.incarnation if self.member else ""
-
-    def receive(self, messages: list[EntryMessage]) -> None:
-        """Take in a frame."""
-        self._links.receive(self, messages)
-
-    def close(self) -> None:
-        """Note that the link has ended."""
-        self._links.end_session(self)
-
-
 class OwnerLinks:
     """All entries in reach of this agent."""
 
@@ -100,9 +71,9 @@
             make_receiver=lambda link: OwnerSession(link=link, links=self),
         )
         self._sessions: dict[str, OwnerSession] = {}
-        self._was_accepting = False
-        self._announced_life = ""
-        """The worker's life that entries were told of, once nothing unknown runs there."""
+        self._reports = WorkerReports(
+            data_centre=data_centre, supervisor=supervisor, sessions=self._sessions
+        )
 
     def __len__(self) -> int:
         return len(self._sessions)
@@ -168,12 +139,7 @@
 
     def mark_room(self) -> None:
         """Note that the room has changed; each entry is told when its pause is over."""
-        now = time.monotonic()
-        self._announce_worker()
-        self._check_accepting(now)
-        for session in self._sessions.values():
-            session.audience.note_change()
-        self._send_rooms(now)
+        self._reports.note_change(now=time.monotonic())
 
     def forgive_silence(self, late_s: float) -> None:
         """Take a time in which this agent did not listen off the silence of all links.
@@ -186,11 +152,10 @@
 
     def tick(self, now: float) -> None:
         """Send beats and what room reports are due; give up silent links."""
-        self._announce_worker()
-        self._check_accepting(now)
+        self._reports.refresh(now=now)
         busy = {run.request.owner for run in self._supervisor.runs.values()}
         self._review_links(busy, now)
-        self._send_rooms(now)
+        self._reports.send_due(now=now)
         for session in list(self._sessions.values()):
             is_busy = session.owner in busy
             pause_s = self._times.beat_s if is_busy else self._times.idle_beat_s
@@ -237,9 +202,7 @@
                 runs=runs,
             )
         )
-        session.link.send(self._make_worker_news())
-        session.audience.hasten()
-        self._send_rooms(time.monotonic())
+        self._reports.greet(session, now=time.monotonic())
         log_event("entry:link", entry=session.member.name, runs=len(runs))
 
     def _take_starts(self, session: OwnerSession, starts: Starts) -> None:
@@ -256,64 +219,6 @@
                 )
             )
 
-    def _announce_worker(self) -> None:
-        """Tell all entries of the worker's life if it has changed or has become known."""
-        news = self._make_worker_news()
-        if news.id == self._announced_life:
-            return
-        self._announced_life = news.id
-        for session in self._sessions.values():
-            session.link.send(news)
-            session.audience.hasten()
-
-    def _check_accepting(self, now: float) -> None:
-        """Hurry all reports when the worker begins or ceases to take starts."""
-        is_accepting = self._supervisor.is_accepting(now=now)
-        if is_accepting == self._was_accepting:
-            return
-        self._was_accepting = is_accepting
-        for session in self._sessions.values():
-            session.audience.hasten()
-
-    def _send_rooms(self, now: float) -> None:
-        """Send the room reports that are due."""
-        near = sum(self._is_near(session) for session in self._sessions.values())
-        near_pause_s = get_room_pause(is_near=True, owners=near)
-        far_pause_s = get_room_pause(is_near=False, owners=len(self._sessions) - near)
-        for session in self._sessions.values():
-            pause_s = near_pause_s if self._is_near(session) else far_pause_s
-            if session.audience.take_due(now=now, pause_s=pause_s):
-                self._send_room(session, now)
-
-    def _is_near(self, session: OwnerSession) -> bool:
-        return session.member is not None and session.member.data_centre == self._data_centre
-
-    def _send_room(self, session: OwnerSession, now: float) -> None:
-        free = self._supervisor.get_free()
-        session.link.send(
-            RoomNews(
-                seen=session.seen,
-                cpu=free.cpu,
-                memory_mb=free.memory_mb,
-                gpu=free.gpu,
-                is_accepting=self._supervisor.is_accepting(now=now),
-                pace=round(self._supervisor.get_pace(now=now), 1),
-            )
-        )
-
-    def _make_worker_news(self) -> WorkerNews:
-        life = self._supervisor.life
-        if life is None or not self._supervisor.is_settled:
-            return WorkerNews(id="", service="", cpu=0, memory_mb=0, gpu=0, labels=())
-        return WorkerNews(
-            id=life.id,
-            service=life.service,
-            cpu=life.capacity.cpu,
-            memory_mb=life.capacity.memory_mb,
-            gpu=life.capacity.gpu,
-            labels=tuple(sorted(life.labels)),
-        )
-
     def _count_runs(self, session: OwnerSession) -> int:
         return len(self._supervisor.get_owner_runs(session.owner))
 
--- /dev/null
+++ b/dalemast/fleet/agent/reports.py
@@ -0,0 +1,104 @@
+"""What an agent tells entries of its worker: its life, and how much room it has."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from dalemast.core.supervision import Supervisor, get_room_pause
+from dalemast.fleet.agent.owner_sessions import OwnerSession
+from dalemast.fleet.frames import RoomNews, WorkerNews
+
+__all__ = ["WorkerReports"]
+
+
+class WorkerReports:
+    """Reports to each entry when its pause is over, and at once when it helps the entry.
+
+    ``sessions`` are the links with entries, by owner; their keeper adds to them and takes away.
+    """
+
+    def __init__(
+        self, *, data_centre: str, supervisor: Supervisor, sessions: Mapping[str, OwnerSession]
+    ) -> None:
+        self._data_centre = data_centre
+        self._supervisor = supervisor
+        self._sessions = sessions
+        self._was_accepting = False
+        self._announced_life = ""
+        """The worker's life that entries were told of, once nothing unknown runs there."""
+
+    def greet(self, session: OwnerSession, *, now: float) -> None:
+        """Tell an entry that was just met of the worker and its room."""
+        session.link.send(self._make_worker_news())
+        session.audience.hasten()
+        self.send_due(now=now)
+
+    def note_change(self, *, now: float) -> None:
+        """Note that the room has changed, and send the reports that are due."""
+        self.refresh(now=now)
+        for session in self._sessions.values():
+            session.audience.note_change()
+        self.send_due(now=now)
+
+    def refresh(self, *, now: float) -> None:
+        """Take in whether the worker's life has changed, or whether it takes starts."""
+        self._announce_worker()
+        self._check_accepting(now)
+
+    def send_due(self, *, now: float) -> None:
+        """Send the room reports that are due."""
+        near = sum(self._is_near(session) for session in self._sessions.values())
+        near_pause_s = get_room_pause(is_near=True, owners=near)
+        far_pause_s = get_room_pause(is_near=False, owners=len(self._sessions) - near)
+        for session in self._sessions.values():
+            pause_s = near_pause_s if self._is_near(session) else far_pause_s
+            if session.audience.take_due(now=now, pause_s=pause_s):
+                self._send_room(session, now)
+
+    def _announce_worker(self) -> None:
+        """Tell all entries of the worker's life if it has changed or has become known."""
+        news = self._make_worker_news()
+        if news.id == self._announced_life:
+            return
+        self._announced_life = news.id
+        for session in self._sessions.values():
+            session.link.send(news)
+            session.audience.hasten()
+
+    def _check_accepting(self, now: float) -> None:
+        """Hurry all reports when the worker begins or ceases to take starts."""
+        is_accepting = self._supervisor.is_accepting(now=now)
+        if is_accepting == self._was_accepting:
+            return
+        self._was_accepting = is_accepting
+        for session in self._sessions.values():
+            session.audience.hasten()
+
+    def _is_near(self, session: OwnerSession) -> bool:
+        return session.member is not None and session.member.data_centre == self._data_centre
+
+    def _send_room(self, session: OwnerSession, now: float) -> None:
+        free = self._supervisor.get_free()
+        session.link.send(
+            RoomNews(
+                seen=session.seen,
+                cpu=free.cpu,
+                memory_mb=free.memory_mb,
+                gpu=free.gpu,
+                is_accepting=self._supervisor.is_accepting(now=now),
+                pace=round(self._supervisor.get_pace(now=now), 1),
+            )
+        )
+
+    def _make_worker_news(self) -> WorkerNews:
+        life = self._supervisor.life
+        if life is None or not self._supervisor.is_settled:
+            return WorkerNews(id="", service="", cpu=0, memory_mb=0, gpu=0, labels=())
+        return WorkerNews(
+            id=life.id,
+            service=life.service,
+            cpu=life.capacity.cpu,
+            memory_mb=life.capacity.memory_mb,
+            gpu=life.capacity.gpu,
+            labels=tuple(sorted(life.labels)),
+        )
--- a/dalemast/fleet/entry/claims.py
+++ b/dalemast/fleet/entry/claims.py
@@ -43,7 +43,7 @@
     """Claims ids at the entries in reach, and answers for the ids whose home this entry is.
 
     ``dialled`` are the links that carry this entry's claims, by the peer's name, and ``accepted``
-    those that carry the peers', by their incarnation; the links' owner adds to them and takes away.
+    those that carry the peers', by their incarnation; their keeper adds to them and takes away.
     """
 
     def __init__(
--- a/dalemast/fleet/entry/peer_sessions.py
+++ b/dalemast/fleet/entry/peer_sessions.py
@@ -8,10 +8,10 @@
 from dalemast.fleet.frames import PeerMessage
 from dalemast.fleet.links import Link
 
-__all__ = ["PeerSession", "PeerSessionOwner"]
+__all__ = ["PeerSession", "PeerSessionKeeper"]
 
 
-class PeerSessionOwner(Protocol):
+class PeerSessionKeeper(Protocol):
     """Takes what happens on a link."""
 
     def take(self, session: PeerSession, message: PeerMessage) -> None:
@@ -24,18 +24,18 @@
 class PeerSession:
     """One link with another entry, dialled or accepted."""
 
-    def __init__(self, *, link: Link, owner: PeerSessionOwner, is_dialled: bool) -> None:
+    def __init__(self, *, link: Link, links: PeerSessionKeeper, is_dialled: bool) -> None:
         self.link = link
         self.is_dialled = is_dialled
         self.member: Member | None = None
         self.is_ending = False
-        self._owner = owner
+        self._links = links
 
     def receive(self, messages: list[PeerMessage]) -> None:
         """Take in a frame."""
         for message in messages:
-            self._owner.take(self, message)
+            self._links.take(self, message)
 
     def close(self) -> None:
         """Note that the link has ended."""
-        self._owner.end_session(self)
+        self._links.end_session(self)
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -196,7 +196,7 @@
         )
 
     def _open(self, link: Link, *, is_dialled: bool) -> PeerSession:
-        session = PeerSession(link=link, owner=self, is_dialled=is_dialled)
+        session = PeerSession(link=link, links=self, is_dialled=is_dialled)
         self._sessions.add(session)
         link.send(
             PeerHello(
