Shorten the review of an agent's links

The review mixed who is spare, who doesn't answer and how a link ends in one condition. The end of a link is now a method, the reason for keeping an unanswered dial stands where it is decided, and the property `addresses`, which nothing read, is gone.

No behaviour changed.

--- a/dalemast/fleet/agent/dialling.py
+++ b/dalemast/fleet/agent/dialling.py
@@ -42,11 +42,6 @@
         self._dialers: dict[str, Dialer] = {}
         self._reviewed_at = 0.0
 
-    @property
-    def addresses(self) -> list[str]:
-        """The addresses that are dialled."""
-        return list(self._dialers)
-
     def start(self) -> None:
         """Dial every entry that is known now or later, until the choice is reviewed."""
         for address in self._book.addresses:
@@ -70,13 +65,13 @@
         for address in wanted:
             self._dial(address)
         for address, dialer in list(self._dialers.items()):
+            # An entry that doesn't answer is dialled on, in case it comes back.
+            if address in wanted or dialer.is_failing(now, longer_than_s=0.0):
+                continue
             member = members.get(address)
             is_spare = is_linked if member is None else member.name not in busy
-            if address in wanted or dialer.is_failing(now, longer_than_s=0.0) or not is_spare:
-                continue
-            log_event("entry:not-chosen", address=address)
-            dialer.stop()
-            del self._dialers[address]
+            if is_spare:
+                self._end(address)
 
     def _choose_addresses(self, members: dict[str, Member], now: float) -> set[str]:
         by_name = {
@@ -102,3 +97,7 @@
             message_type=EntryMessage,
             make_receiver=self._make_receiver,
         )
+
+    def _end(self, address: str) -> None:
+        log_event("entry:not-chosen", address=address)
+        self._dialers.pop(address).stop()
