--- a/dalemast/emulator/simulation.py
+++ b/dalemast/emulator/simulation.py
@@ -9,9 +9,7 @@
 import heapq
 import itertools
 import random
-from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from dalemast.core.scheduling import Action as OwnerAction
 from dalemast.core.scheduling import (
@@ -42,9 +40,10 @@
     get_room_pause,
 )
 from dalemast.core.workloads import Resources
+from dalemast.emulator.outcomes import JobEnd, Outcome, sum_up
 from dalemast.emulator.traffic import Arrival
 
-__all__ = ["Outcome", "Simulation"]
+__all__ = ["Simulation"]
 
 MESSAGE_S = 0.001
 """One way between processes, with their turns of the loop."""
@@ -53,31 +52,8 @@
 SPEEDS = (0.8, 1.0, 1.25)
 SIZES = (16000, 16000, 24000)
 """Speeds and processors of the users' workers, in turn."""
-LATE_FACTOR = 3.0
-"""Up to this many objectives an answer is late and earns a share; then nothing."""
-LATE_SHARE = 0.2
 TICK_S = 0.05
-"""The grain of an agent's time-outs."""
-WARM_UP_S = 10.0
-"""Owners call no job hopeless and have no run times before; jobs from then on are counted."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Outcome:
-    """What became of the jobs of a run, by kind; ``worth`` is earned over owed."""
-
-    worth: float
-    on_time: dict[str, int]
-    late: dict[str, int]
-    refused: dict[str, int]
-    lost: dict[str, int]
-
-    def __str__(self) -> str:
-        parts = [f"worth {self.worth:.3f}"]
-        for name in sorted({*self.on_time, *self.late, *self.refused, *self.lost}):
-            counts = (self.on_time, self.late, self.refused, self.lost)
-            parts.append(f"{name} " + "/".join(str(count.get(name, 0)) for count in counts))
-        return ", ".join(parts) + " (on time/late/refused/too late)"
+"""The grain of owners' and agents' time-outs."""
 
 
 class Simulation:
@@ -113,7 +89,7 @@
         self._agents = [
             SimulatedAgent(simulation=self, number=n, owners=owners) for n in range(workers)
         ]
-        self._outcomes: dict[str, tuple[str, float]] = {}
+        self._ends: dict[str, JobEnd] = {}
         for agent in self._agents:
             agent.connect()
         for arrival in arrivals:
@@ -136,7 +112,7 @@
         while self._events and self._events[0][0] <= until_s:
             self._now, _, action = heapq.heappop(self._events)
             action()
-        return self._sum_up()
+        return sum_up(self._arrivals.values(), self._ends)
 
     def get_run_s(self, job_id: str, position: int) -> float:
         """Return a task's true run time."""
@@ -156,7 +132,7 @@
     def _tick(self, owner: int, until_s: float) -> None:
         self._apply(owner, self._owners[owner].tick(now=self._now))
         if self._now < until_s:
-            self.at(self._now + 0.05, lambda: self._tick(owner, until_s))
+            self.at(self._now + TICK_S, lambda: self._tick(owner, until_s))
 
     def _apply(self, owner: int, actions: list[OwnerAction]) -> None:
         for action in actions:
@@ -168,36 +144,9 @@
                         lambda agent=agent, start=action: agent.take(owner, start),
                     )
                 case JobFinished():
-                    self._outcomes[action.job.id] = (action.state.value, self._now)
+                    self._ends[action.job.id] = JobEnd(state=action.state, at=self._now)
                 case JobRefused():
-                    self._outcomes[action.job.id] = ("refused", self._now)
-
-    def _sum_up(self) -> Outcome:
-        counts: dict[str, Counter[str]] = {
-            name: Counter() for name in ("on time", "late", "refused", "lost")
-        }
-        earned = owed = 0.0
-        for arrival in self._arrivals.values():
-            if arrival.at < WARM_UP_S:
-                continue
-            owed += arrival.worth
-            state, ended_at = self._outcomes.get(arrival.request.id, ("lost", 0.0))
-            took_s = ended_at - arrival.at
-            if state == "succeeded" and took_s <= arrival.objective_s:
-                verdict, share = "on time", 1.0
-            elif state == "succeeded" and took_s <= LATE_FACTOR * arrival.objective_s:
-                verdict, share = "late", LATE_SHARE
-            else:
-                verdict, share = ("refused" if state == "refused" else "lost"), 0.0
-            counts[verdict][arrival.kind.name] += 1
-            earned += share * arrival.worth
-        return Outcome(
-            worth=earned / owed if owed else 0.0,
-            on_time=dict(counts["on time"]),
-            late=dict(counts["late"]),
-            refused=dict(counts["refused"]),
-            lost=dict(counts["lost"]),
-        )
+                    self._ends[action.job.id] = JobEnd(state=None, at=self._now)
 
 
 class SimulatedAgent:
@@ -244,10 +193,6 @@
             audience.hasten()
         self._tell_room()
 
-    def _is_near(self, owner: int) -> bool:
-        data_centres = self._simulation.data_centres
-        return int(self._name) % data_centres == owner % data_centres
-
     def take(self, owner: int, start: StartTask) -> None:
         """Take a start."""
         self._seen[owner] = max(self._seen[owner], start.number)
@@ -290,8 +235,7 @@
     def _end(self, run_id: RunId) -> None:
         ended = EndedRun(next(self._ends), run_id, EndReason.DONE)
         now = self._simulation.now
-        running = ()
-        self._apply(self._supervisor.look(running, (ended,), asked_at=0.0, now=now))
+        self._apply(self._supervisor.look((), (ended,), asked_at=0.0, now=now))
 
     def _tell_end(self, report: ReportEnd) -> None:
         run_id = report.run_id
@@ -338,3 +282,7 @@
         self._is_report_planned = False
         if any(audience.is_due for audience in self._audiences):
             self._tell_due()
+
+    def _is_near(self, owner: int) -> bool:
+        data_centres = self._simulation.data_centres
+        return int(self._name) % data_centres == owner % data_centres
