--- a/dalemast/bench/plots/days.py
+++ b/dalemast/bench/plots/days.py
@@ -4,8 +4,9 @@
 
 import json
 import statistics
+from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from matplotlib.figure import Figure
@@ -14,7 +15,7 @@
 
 __all__ = ["DaySecond", "draw_day", "read_day"]
 
-NINETY_FIVE = 0.95
+HIGH_QUANTILE = 0.95
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -31,32 +32,22 @@
 
 def read_day(lines: Iterable[str]) -> list[DaySecond]:
     """Sum up log lines by second, counted from the first; text before a line's JSON is skipped."""
-    took: dict[int, list[float]] = {}
-    counts: dict[str, dict[int, int]] = {"job:refused": {}, "job:dropped": {}}
+    tallies: dict[int, _Tally] = defaultdict(_Tally)
     first: int | None = None
     for line in lines:
         row = _read_line(line)
         if row is None:
             continue
-        kind = row.get("message_type")
         second = int(float(str(row["timestamp"])))
         first = second if first is None else min(first, second)
-        if kind == "job:ended":
-            took.setdefault(second, []).append(float(str(row["took_s"])))
-        elif kind in counts:
-            counts[str(kind)][second] = counts[str(kind)].get(second, 0) + 1
-    seconds = sorted({*took, *counts["job:refused"], *counts["job:dropped"]})
-    return [
-        DaySecond(
-            second=second - (first or 0),
-            answered=len(took.get(second, ())),
-            refused=counts["job:refused"].get(second, 0),
-            dropped=counts["job:dropped"].get(second, 0),
-            median_s=statistics.median(took[second]) if second in took else float("nan"),
-            p95_s=_get_quantile(took[second]) if second in took else float("nan"),
-        )
-        for second in seconds
-    ]
+        match row.get("message_type"):
+            case "job:ended":
+                tallies[second].took_s.append(float(str(row["took_s"])))
+            case "job:refused":
+                tallies[second].refused += 1
+            case "job:dropped":
+                tallies[second].dropped += 1
+    return [tally.sum_up(second - (first or 0)) for second, tally in sorted(tallies.items())]
 
 
 def draw_day(seconds: list[DaySecond], file: Path) -> None:
@@ -78,6 +69,26 @@
     save(figure, file)
 
 
+@dataclass(kw_only=True, slots=True)
+class _Tally:
+    """What the logs tell of one second; ``took_s`` has a response time for each answered job."""
+
+    took_s: list[float] = field(default_factory=list)
+    refused: int = 0
+    dropped: int = 0
+
+    def sum_up(self, second: int) -> DaySecond:
+        """Return the second's sums; one without answers has no response times."""
+        return DaySecond(
+            second=second,
+            answered=len(self.took_s),
+            refused=self.refused,
+            dropped=self.dropped,
+            median_s=statistics.median(self.took_s) if self.took_s else float("nan"),
+            p95_s=_get_quantile(self.took_s) if self.took_s else float("nan"),
+        )
+
+
 def _read_line(line: str) -> dict[str, object] | None:
     start = line.find("{")
     if start < 0:
@@ -92,4 +103,4 @@
 
 def _get_quantile(values: list[float]) -> float:
     ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(NINETY_FIVE * len(ordered)))]
+    return ordered[min(len(ordered) - 1, int(HIGH_QUANTILE * len(ordered)))]
