Say what the tests' proxy and fleet mean by their figures

The proxy's tick and linger had no word of why, nor had the end of a pump whose sender has reset. LocalFleet builds an agent's settings in a method of its own, as it does an entry's, and says what `links_per_agent` counts.

No behaviour changed, and no test or check.

--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -25,8 +25,6 @@
 HOST = "draws.example"
 PREFIX = "/draws/"
 STEP = {"count": 1, "cpu": 1000, "mem_mb": 10, "estimate_ms": 100}
-
-
 HELD_PORTS = 400
 _held: deque[socket.socket] = deque(maxlen=HELD_PORTS)
 """Sockets that hold the ports that were given out: bound, not listening, open to reuse. A listener
@@ -46,6 +44,7 @@
 
 
 def make_configuration(version: int, **route: Any) -> dict[str, Any]:
+    """Return a configuration with one route, some of whose fields may be given."""
     row = {
         "name": "draws",
         "host": HOST,
@@ -59,7 +58,11 @@
 
 
 class LocalFleet:
-    """Entries, agents with their workers, and a store, as a context manager."""
+    """Entries, agents with their workers, and a store, as a context manager.
+
+    ``links_per_agent`` is how many entries see each worker once the fleet is ready: all of them,
+    unless ``agent_settings`` bound an agent's links.
+    """
 
     def __init__(
         self,
@@ -195,6 +198,18 @@
             drain_limit_s=5.0,
         )
 
+    def _make_agent(self, number: int, worker: EmulatedWorker, reports: str) -> FleetAgentSettings:
+        return FleetAgentSettings(
+            name=f"agent-{number}",
+            data_centre="austin",
+            registration=ListenerSettings(address=reports),
+            worker=AddressSettings(address=worker.address),
+            metrics=ListenerSettings(address="127.0.0.1:0"),
+            store=AddressSettings(address=self.store.address),
+            seeds=tuple(s.links.address for s in self.entry_settings[:1]),
+            **self._agent_settings,
+        )
+
     async def _add_worker(self, number: int) -> None:
         reports = find_address()
         worker = EmulatedWorker(
@@ -205,18 +220,7 @@
             cpu=self._cpu,
         )
         worker.start()
-        agent = FleetAgentProcess(
-            settings=FleetAgentSettings(
-                name=f"agent-{number}",
-                data_centre="austin",
-                registration=ListenerSettings(address=reports),
-                worker=AddressSettings(address=worker.address),
-                metrics=ListenerSettings(address="127.0.0.1:0"),
-                store=AddressSettings(address=self.store.address),
-                seeds=tuple(s.links.address for s in self.entry_settings[:1]),
-                **self._agent_settings,
-            )
-        )
+        agent = FleetAgentProcess(settings=self._make_agent(number, worker, reports))
         await agent.start()
         self.workers.append(worker)
         self.agents.append(agent)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -12,7 +12,9 @@
 """How long this process may stand still before what waited in its sockets counts as held up. Owners
 give a silent link up after 0.45 s, and then what they sent must not arrive any more."""
 TICK_S = 0.02
+"""Pause between two marks of the time at which this process ran: far below :data:`LATE_S`."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Linger for no time: a connection that is closed so is reset."""
 CHUNK_BYTES = 65536
 
 
@@ -73,6 +75,7 @@
             reset_connection(writer)
 
     async def _tick_forever(self) -> None:
+        """Mark the time over and over; a mark that is old tells of a standstill."""
         while True:
             self._ticked_at = time.monotonic()
             await asyncio.sleep(TICK_S)
@@ -112,6 +115,7 @@
                     await asyncio.sleep(self.delay_s)
                 await self._open[way].wait()
                 if reader.exception() is not None:
+                    # The sender has reset the connection while its bytes were held up.
                     return
                 writer.write(data)
                 await writer.drain()
