Give an ended run its own step in a worker's look

Supervisor.look did the first half of what a listed end means itself and left the other half to a method; one method now does both. The hash of the rendezvous takes a key, not only a job's id, since agents rank entries by it too, and the package's header says so.

No behaviour changed.

--- a/dalemast/core/ownership/__init__.py
+++ b/dalemast/core/ownership/__init__.py
@@ -1,11 +1,10 @@
-"""One owner at a time for a job's id, without a write to the store."""
+"""One owner at a time for a job's id, and the entries that an agent offers its worker to.
+
+Both are agreed on without a write to the store.
+"""
 
 from dalemast.core.ownership.claims import Claims, Granted, Held
-from dalemast.core.ownership.neighbours import (
-    KnownEntry,
-    LinkBounds,
-    choose_owners,
-)
+from dalemast.core.ownership.neighbours import KnownEntry, LinkBounds, choose_owners
 from dalemast.core.ownership.rendezvous import choose_home, rank_entries
 
 __all__ = [
--- a/dalemast/core/ownership/rendezvous.py
+++ b/dalemast/core/ownership/rendezvous.py
@@ -20,5 +20,5 @@
     return sorted(entries, key=lambda entry: _score(key, entry), reverse=True)
 
 
-def _score(job_id: str, entry: str) -> bytes:
-    return blake2b(f"{entry}\0{job_id}".encode(), digest_size=DIGEST_BYTES).digest()
+def _score(key: str, entry: str) -> bytes:
+    return blake2b(f"{entry}\0{key}".encode(), digest_size=DIGEST_BYTES).digest()
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -216,13 +216,10 @@
         now: float,
     ) -> list[Action]:
         """Take in the worker's lists, as they were after ``asked_at``."""
-        actions: list[Action] = []
         was_settled = self.is_settled
+        actions: list[Action] = []
         for end in ended:
-            self._strays.discard(end.run_id)
-            run = self._runs.get(end.run_id)
-            if run is not None:
-                actions += self._end_listed(run, end.reason, now)
+            actions += self._see_end(end, now)
         listed = set()
         for row in running:
             listed.add(row.run_id)
@@ -287,10 +284,9 @@
         age_s = now - run.started_at
         if now - run.reported_at < SLOW_REPEAT_S or age_s < MIN_AGE_S:
             return []
-        expected_s = run.request.expected_s
         is_stalled = run.is_stalled(now)
         total_s = run.get_total_s(now)
-        if not is_stalled and total_s < SLOW_FACTOR * expected_s:
+        if not is_stalled and total_s < SLOW_FACTOR * run.request.expected_s:
             return []
         run.reported_at = now
         if is_stalled:
@@ -313,12 +309,16 @@
             return []
         return self._end(run, EndReason.STOPPED, now)
 
-    def _end_listed(self, run: Run, reason: EndReason, now: float) -> list[Action]:
-        if reason is EndReason.DONE:
+    def _see_end(self, end: EndedRun, now: float) -> list[Action]:
+        self._strays.discard(end.run_id)
+        run = self._runs.get(end.run_id)
+        if run is None:
+            return []
+        if end.reason is EndReason.DONE:
             self._health.note_done()
-        elif reason is EndReason.FAILED:
-            self._health.note_failed(run.request.run_id.job_id, now=now)
-        return self._end(run, reason, now)
+        elif end.reason is EndReason.FAILED:
+            self._health.note_failed(end.run_id.job_id, now=now)
+        return self._end(run, end.reason, now)
 
     def _end(self, run: Run, reason: EndReason, now: float) -> list[Action]:
         request = run.request
