Ask each entry for its workers again before a fleet counts as ready

Cause: with bounded links the tests' fleet compared the sum over all entries, by which one entry that lists a worker too many could hide another that lacks one.

--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -110,14 +110,20 @@
     def is_ready(self) -> bool:
         """Whether every entry sees every other, and workers by all the links that agents keep."""
         states = [entry.get_state() for entry in self.entries]
-        workers = [w for state in states for w in state["workers"].values()]  # type: ignore[attr-defined]
+        seen = [state["workers"] for state in states]
         return (
-            all(w["is_accepting"] for w in workers)
-            and len(workers) == len(self.agents) * self._links_per_agent
+            all(state["configuration"] is not None for state in states)
             and all(len(state["peers"]) == len(self.entries) - 1 for state in states)  # type: ignore[arg-type]
-            and all(state["configuration"] is not None for state in states)
+            and all(w["is_accepting"] for workers in seen for w in workers.values())  # type: ignore[attr-defined]
+            and self._are_linked([len(workers) for workers in seen])  # type: ignore[arg-type]
         )
 
+    def _are_linked(self, workers_seen: list[int]) -> bool:
+        """Tell whether entries see as many workers each, or in all if agents' links are bounded."""
+        if self._links_per_agent == self._entry_count:
+            return all(seen == len(self.agents) for seen in workers_seen)
+        return sum(workers_seen) == len(self.agents) * self._links_per_agent
+
     async def add_entry(self, settings: FleetEntrySettings) -> FleetEntryProcess:
         """Start an entry."""
         entry = FleetEntryProcess(settings=settings)
