Tell a service without workers from one whose workers are full

Cause: a job was refused as overload when any service had a worker that takes starts, though its own had none.

Measured: the new test fails before, passes after; the caller's answer is the same but for the word.

--- a/dalemast/core/scheduling/refusals.py
+++ b/dalemast/core/scheduling/refusals.py
@@ -83,7 +83,7 @@
         service = job.request.queue.service
         return JobRefused(
             job=job.request,
-            cause=RefusalCause.OVERLOAD if most_free else RefusalCause.NO_WORKERS,
+            cause=RefusalCause.OVERLOAD if service in most_free else RefusalCause.NO_WORKERS,
             retry_after_s=retry_after_s,
             waited_s=now - job.arrived_at,
             waiting_jobs=waiting_jobs,
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -243,6 +243,12 @@
         self.assertGreater(refused.retry_after_s, 0.0)
         self.assertEqual((1, 1000, 0), (refused.workers, refused.needed_cpu, refused.free_cpu))
 
+    def test_a_service_without_workers_is_told_apart_from_full_ones(self) -> None:
+        self.add_worker("w", service="maps")
+        self.scheduler.submit(make_job("a"), now=10.0)
+        (refused,) = get_refused(self.scheduler.tick(now=10.5))
+        self.assertIs(RefusalCause.NO_WORKERS, refused.cause)
+
     def test_a_job_with_a_start_is_never_refused(self) -> None:
         self.add_worker("w1", cpu=1000)
         self.scheduler.submit(make_job("a", make_step(2)), now=10.0)
