Let the soak's proxy doubt what it reads just after a standstill

Cause: the mark by which the proxy knows that it stood still may be renewed in the same turn of the loop before the waiting bytes are read.

Change: bytes count as held up for 50 ms after a standstill as well. The test is as it was.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -13,6 +13,9 @@
 give a silent link up after 0.45 s, and then what they sent must not arrive any more."""
 TICK_S = 0.02
 """Pause between two marks of the time at which this process ran: far below :data:`LATE_S`."""
+DOUBT_S = 0.05
+"""For how long after a standstill bytes still count as held up: the mark may be renewed in the same
+turn of the loop before the sockets are read."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Linger for no time: a connection that is closed so is reset."""
 CHUNK_BYTES = 65536
@@ -42,6 +45,7 @@
         self.delay_s = 0.0
         self.address = ""
         self._ticked_at = time.monotonic()
+        self._doubted_until = 0.0
         self.heal()
 
     async def start(self) -> None:
@@ -77,12 +81,16 @@
     async def _tick_forever(self) -> None:
         """Mark the time over and over; a mark that is old tells of a standstill."""
         while True:
-            self._ticked_at = time.monotonic()
+            now = time.monotonic()
+            if now - self._ticked_at > LATE_S:
+                self._doubted_until = now + DOUBT_S
+            self._ticked_at = now
             await asyncio.sleep(TICK_S)
 
     def _stood_still(self) -> bool:
         """Tell whether this process did not run for a while before what is being read was read."""
-        return time.monotonic() - self._ticked_at > LATE_S
+        now = time.monotonic()
+        return now - self._ticked_at > LATE_S or now < self._doubted_until
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, _, port = self._target.rpartition(":")
