--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -146,7 +146,7 @@
     async def _add_worker(self, number: int, seeds: list[str], store: str) -> None:
         reports = find_address()
         worker = EmulatedWorker(
-            address="127.0.0.1:0", report_to=reports, service=SERVICE, zone="austin", cpu=8000
+            address=find_address(), report_to=reports, service=SERVICE, zone="austin", cpu=8000
         )
         worker.start()
         self.workers.append(worker)
