Start a program of the soak once, though two faults overlap on it

Cause: faults that overlap on one program each started it again, the first process was forgotten and outlived the run.

Change: a program that is alive is not started.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -33,7 +33,9 @@
         self._process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
-        """Start it."""
+        """Start it, unless an overlapping fault has started it already."""
+        if self._process is not None and self._process.poll() is None:
+            return
         environment = {**os.environ, "DALEMAST_BOOT": str(self._file)}
         self._process = subprocess.Popen(
             [sys.executable, "-m", "dalemast", self._role],
