--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import Any
 
+from dalemast.emulator import EmulatedWorker
 from dalemast.http.client import HttpFailure
 from tests.fleet.base import HOST, PREFIX, STEP, make_text
 from tests.soak.cluster import Cluster, Program
@@ -50,6 +51,8 @@
         self._report = Report(seed=seed)
         self._versions: dict[str, tuple[str, int]] = {}
         self._is_over = False
+        self._crashed: set[EmulatedWorker] = set()
+        """Workers that are down: an overlapping fault must not start them twice on one port."""
 
     async def play(self, *, seconds: float) -> Report:
         """Play and return what was seen."""
@@ -233,9 +236,13 @@
 
     async def _crash_worker(self) -> None:
         worker = self._rng.choice(self._cluster.workers)
+        if worker in self._crashed:
+            return
+        self._crashed.add(worker)
         await worker.crash()
         await asyncio.sleep(self._rng.uniform(0.0, 1.5))
         worker.start()
+        self._crashed.discard(worker)
 
     async def _change_configuration(self) -> None:
         self._cluster.change_configuration()
