Let a worker show which of its lives is there before one replaces another

Cause: a heartbeat that a cut held up may arrive after its sender has crashed and another life has registered at the same address. The supervisor took whatever id came last for the new life: it ended all runs of the life that was really there (owners placed them again: two runs at a time), gave its room out twice, and swapped back at the next report.

Change: WorkerLives keeps the life that is believed in, one that claims its place, and those that are over. A report alone replaces nothing. The agent calls the known life; if it answers a call made after the claim, the claim was an old report and its sender never comes back; if another life answers (421), the claimant takes over. A life that deregistered or was followed never comes back; one that was merely out of reach does. A 421 on a look now ends a life at once, not at the second.

Ruled out: barring every life that another report followed. An agent that has just started may hear of the earlier life second, and would bar the one that is there for good.

Tests: in the supervisor's tests a report of another life no longer ends runs by itself; the four tests that relied on it now let the worker disown the life before, which is the stricter order. New: seven cases, a property over lives and reports in any order, two on a whole fleet.

--- /dev/null
+++ b/dalemast/core/supervision/lives.py
@@ -0,0 +1,76 @@
+"""Which life of a worker is there, when reports may arrive after their sender has crashed.
+
+A report that was held up on its way may name a life that another one has followed at the same
+address. Taken at its word, it would end all runs of the life that is really there: they would be
+placed again while they go on, and the worker's room would be given out twice.
+"""
+
+from __future__ import annotations
+
+from dalemast.core.supervision.base import WorkerLife
+
+__all__ = ["WorkerLives"]
+
+
+class WorkerLives:
+    """The life that is believed to be there, one that claims its place, and those that are over.
+
+    Only the worker tells which of two lives is there: a call addressed to a life is answered by
+    that life alone. Times are the agent's steady clock, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self._current: WorkerLife | None = None
+        self._claimant: WorkerLife | None = None
+        self._claimed_at = 0.0
+        self._over: set[str] = set()
+        """Lives that never come back. A worker has few within one life of its agent."""
+        self._unproved: set[str] = set()
+        """Lives met before the current one; they are over once it has answered a call."""
+
+    @property
+    def current(self) -> WorkerLife | None:
+        """The life that calls are addressed to."""
+        return self._current
+
+    @property
+    def claimant(self) -> WorkerLife | None:
+        """Another life that has reported, until the worker shows which one is there."""
+        return self._claimant
+
+    def meet(self, life: WorkerLife, *, now: float) -> bool:
+        """Take in a report; return whether it is the current life's, or has become it."""
+        if life.id in self._over:
+            return False
+        if self._current is None or self._current.id == life.id:
+            self._current = life
+            return True
+        if self._claimant is None or self._claimant.id != life.id:
+            self._claimed_at = now
+        self._claimant = life
+        return False
+
+    def confirm(self, *, asked_at: float) -> None:
+        """Note that the current life answered a call that was made at ``asked_at``."""
+        if self._current is None:
+            return
+        self._unproved.discard(self._current.id)
+        self._over |= self._unproved
+        self._unproved.clear()
+        if self._claimant is not None and asked_at > self._claimed_at:
+            self._over.add(self._claimant.id)
+            self._claimant = None
+
+    def lose(self, *, is_over: bool) -> WorkerLife | None:
+        """Give the current life up; return the claimant that has taken its place, if any."""
+        if self._current is not None:
+            (self._over if is_over else self._unproved).add(self._current.id)
+        self._current = self._claimant
+        self._claimant = None
+        return self._current
+
+    def bar(self, life_id: str) -> None:
+        """Note that a life is over which is not the current one."""
+        self._over.add(life_id)
+        if self._claimant is not None and self._claimant.id == life_id:
+            self._claimant = None
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -28,6 +28,7 @@
     WorkerLife,
 )
 from dalemast.core.supervision.health import WorkerHealth
+from dalemast.core.supervision.lives import WorkerLives
 from dalemast.core.supervision.runs import MIN_AGE_S, Run, RunPhase, get_mean_pace
 from dalemast.core.workloads import Resources
 
@@ -61,7 +62,7 @@
 
     def __init__(self, *, limits: SupervisorLimits) -> None:
         self._limits = limits
-        self._life: WorkerLife | None = None
+        self._lives = WorkerLives()
         self._is_draining = False
         self._runs: dict[RunId, Run] = {}
         self._strays: set[RunId] = set()
@@ -72,7 +73,7 @@
     @property
     def life(self) -> WorkerLife | None:
         """The worker's life, once it has reported."""
-        return self._life
+        return self._lives.current
 
     @property
     def runs(self) -> dict[RunId, Run]:
@@ -87,6 +88,8 @@
     @property
     def has_work(self) -> bool:
         """Whether the worker has to be looked at: something runs, or nobody knows yet."""
+        if self._lives.claimant is not None:
+            return True
         return bool(self._runs or self._strays or not self._has_looked)
 
     @property
@@ -102,13 +105,13 @@
         agent keeps its worker to itself until it has looked, which also bars the orders that its
         last life left under way by a higher fencing token, and until all strays have ended.
         """
-        return self._life is not None and self._has_looked and not self._strays
+        return self.life is not None and self._has_looked and not self._strays
 
     def get_free(self) -> Resources:
         """Return what is free on the worker."""
-        if self._life is None:
+        if self.life is None:
             return Resources()
-        free = self._life.capacity
+        free = self.life.capacity
         for run in self._runs.values():
             free -= run.request.resources
         return free
@@ -119,29 +122,44 @@
 
     def is_accepting(self, *, now: float) -> bool:
         """Tell whether starts are taken."""
-        if self._life is None or self._life.is_leaving or self._is_draining:
+        if self.life is None or self.life.is_leaving or self._is_draining:
             return False
         if not self.is_settled:
             return False
         return self._health.may_start(running=len(self._runs), now=now)
 
-    def meet_life(self, life: WorkerLife) -> list[Action]:
-        """Take in a worker's account of itself. With a new life, all that ran is over."""
-        known = self._life
-        self._life = life
-        if known is not None and known.id == life.id:
-            changed = known.is_leaving != life.is_leaving
-            return [ReportRoom()] if changed else []
-        self._health = WorkerHealth()
-        self._strays.clear()
-        self._has_looked = False
-        return [*self._end_all(), ReportRoom()]
+    def meet_life(self, life: WorkerLife, *, now: float) -> list[Action]:
+        """Take in a worker's account of itself. With a new life, all that ran is over.
+
+        While another life is known, it stays until the worker has shown which of the two is there.
+        """
+        known = self.life
+        if not self._lives.meet(life, now=now):
+            return []
+        if known is None:
+            return self._begin_life()
+        changed = known.is_leaving != life.is_leaving
+        return [ReportRoom()] if changed else []
 
-    def lose_life(self) -> list[Action]:
-        """Note that the worker is gone: its process ended, so nothing runs there."""
-        self._life = None
+    def lose_life(self, *, is_over: bool) -> list[Action]:
+        """Note that the worker is gone: its process ended, so nothing runs there.
+
+        ``is_over`` tells that this life can't come back: it said that it ends, or another life
+        answers in its place. One that is only out of reach may report again.
+        """
+        claimant = self._lives.lose(is_over=is_over)
         self._strays.clear()
-        return [*self._end_all(), ReportRoom()]
+        actions = [*self._end_all(), ReportRoom()]
+        if claimant is not None:
+            actions += self._begin_life()
+        return actions
+
+    def end_life(self, life_id: str) -> list[Action]:
+        """Take in a life's word that it ends."""
+        if self.life is not None and self.life.id == life_id:
+            return self.lose_life(is_over=True)
+        self._lives.bar(life_id)
+        return []
 
     def drain(self) -> list[Action]:
         """Take no more starts."""
@@ -217,6 +235,7 @@
     ) -> list[Action]:
         """Take in the worker's lists, as they were after ``asked_at``."""
         was_settled = self.is_settled
+        self._lives.confirm(asked_at=asked_at)
         actions: list[Action] = []
         for end in ended:
             actions += self._see_end(end, now)
@@ -331,6 +350,13 @@
         )
         return [report, ReportRoom()]
 
+    def _begin_life(self) -> list[Action]:
+        """Start over with a life of which nothing is known yet."""
+        self._health = WorkerHealth()
+        self._strays.clear()
+        self._has_looked = False
+        return [ReportRoom()]
+
     def _end_all(self) -> list[Action]:
         ends: list[Action] = [
             ReportEnd(owner=run.request.owner, run_id=run_id, reason=EndReason.STOPPED, run_s=0.0)
--- a/dalemast/emulator/simulation.py
+++ b/dalemast/emulator/simulation.py
@@ -177,7 +177,8 @@
                 capacity=self._capacity,
                 labels=frozenset(),
                 is_leaving=False,
-            )
+            ),
+            now=0.0,
         )
         self._supervisor.look((), (), asked_at=0.0, now=0.0)
         for owner in range(self._owners):
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from dalemast.core.scheduling import EndReason
 from dalemast.core.supervision import (
@@ -20,7 +21,7 @@
     WorkerLife,
 )
 from dalemast.fleet.agent.owners import OwnerLinks
-from dalemast.fleet.base import BaseWorkerDriver, WorkerGone, WorkerUnanswered
+from dalemast.fleet.base import BaseWorkerDriver, WorkerGone, WorkerReplaced, WorkerUnanswered
 from dalemast.observability import Metrics, log_event
 
 __all__ = ["WorkerLoop"]
@@ -49,6 +50,7 @@
         self._owners: OwnerLinks | None = None
         self._wake = asyncio.Event()
         self._orders: set[asyncio.Task[None]] = set()
+        self._addressed_life = ""
         self._unanswered = 0
         self._refused = 0
         self._stopped_at: dict[RunId, float] = {}
@@ -60,23 +62,22 @@
     def meet_life(self, life: WorkerLife) -> None:
         """Take in the worker's account of itself."""
         known = self._supervisor.life
-        is_new = known is None or known.id != life.id
-        if is_new:
-            self._driver.meet(life)
-            self._unanswered = 0
-            log_event("worker:met", worker=life.id, cpu=life.capacity.cpu)
-        elif known is not None and known.is_leaving != life.is_leaving:
+        if known is not None and known.id == life.id and known.is_leaving != life.is_leaving:
             log_event("worker:leaving", worker=life.id, remaining_s=life.remaining_s)
-        self.apply(self._supervisor.meet_life(life))
+        actions = self._supervisor.meet_life(life, now=time.monotonic())
+        believed = self._supervisor.life
+        if believed is None or believed.id != life.id:
+            log_event(
+                "worker:doubtful-report", worker=life.id, believed=believed.id if believed else ""
+            )
+        self._follow_life()
+        self.apply(actions)
         self._wake.set()
 
     def lose_life(self, life_id: str) -> None:
-        """Note that the worker has ended."""
-        known = self._supervisor.life
-        if known is None or (life_id and known.id != life_id):
-            return
-        log_event("worker:gone", worker=known.id, runs=len(self._supervisor.runs))
-        self.apply(self._supervisor.lose_life())
+        """Note that a life of the worker has said that it ends."""
+        log_event("worker:deregistered", worker=life_id)
+        self._change_life(lambda: self._supervisor.end_life(life_id))
 
     def start(self, request: StartRequest) -> None:
         """Take an owner's start."""
@@ -137,6 +138,10 @@
             self._unanswered += 1
             self._note_silence()
             return
+        except WorkerReplaced as error:
+            log_event("worker:replaced", reason=str(error))
+            self._change_life(lambda: self._supervisor.lose_life(is_over=True))
+            return
         except WorkerGone as error:
             await self._note_refused(str(error))
             return
@@ -155,7 +160,7 @@
         if self._unanswered == UNANSWERED_LOOKS:
             log_event("worker:silent", runs=len(self._supervisor.runs))
         if time.monotonic() > self._driver.leased_until:
-            self.lose_life("")
+            self._change_life(lambda: self._supervisor.lose_life(is_over=False))
 
     async def _note_refused(self, reason: str) -> None:
         """A refused connection may be a reset in passing: only two in a row end the life."""
@@ -165,7 +170,32 @@
             return
         log_event("worker:refused", reason=reason)
         self._refused = 0
-        self.lose_life("")
+        self._change_life(lambda: self._supervisor.lose_life(is_over=False))
+
+    def _change_life(self, change: Callable[[], list[Action]]) -> None:
+        """Let the supervisor give a life up, and address calls to the one it believes in then."""
+        before = self._supervisor.life
+        runs = len(self._supervisor.runs)
+        actions = change()
+        after = self._supervisor.life
+        if before is not None and (after is None or after.id != before.id):
+            log_event("worker:gone", worker=before.id, runs=runs)
+        self._follow_life()
+        self.apply(actions)
+
+    def _follow_life(self) -> None:
+        """Address calls to the life that the supervisor believes in."""
+        life = self._supervisor.life
+        if life is None:
+            self._addressed_life = ""
+            return
+        if life.id == self._addressed_life:
+            return
+        self._addressed_life = life.id
+        self._driver.meet(life)
+        self._unanswered = 0
+        self._refused = 0
+        log_event("worker:met", worker=life.id, cpu=life.capacity.cpu)
 
     async def _order_start(self, request: StartRequest) -> None:
         began = time.monotonic()
--- a/dalemast/fleet/base.py
+++ b/dalemast/fleet/base.py
@@ -27,6 +27,7 @@
     "Member",
     "WorkerGone",
     "WorkerObserver",
+    "WorkerReplaced",
     "WorkerUnanswered",
 ]
 
@@ -151,7 +152,11 @@
 
 
 class WorkerGone(Exception):
-    """Nothing listens at the worker's address, or another life answers there."""
+    """Nothing listens at the worker's address."""
+
+
+class WorkerReplaced(Exception):
+    """Another life answers at the worker's address, so the one that was meant is over."""
 
 
 class BaseWorkerDriver(abc.ABC):
@@ -178,8 +183,8 @@
     async def look(self, *, wait_s: float, renews: bool) -> Look:
         """Ask what runs and what ended, and renew the lease unless told otherwise.
 
-        Returns after ``wait_s`` or once something ends. Raises :class:`WorkerUnanswered` or
-        :class:`WorkerGone`.
+        Returns after ``wait_s`` or once something ends. Raises :class:`WorkerUnanswered`,
+        :class:`WorkerGone` or :class:`WorkerReplaced`.
         """
 
 
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -17,7 +17,7 @@
     WorkerLife,
 )
 from dalemast.core.workloads import TaskKey
-from dalemast.fleet.base import BaseWorkerDriver, Look, WorkerGone, WorkerUnanswered
+from dalemast.fleet.base import BaseWorkerDriver, Look, WorkerGone, WorkerReplaced, WorkerUnanswered
 from dalemast.fleet.timing import WORKER_CLOCK_ERROR
 from dalemast.http.client import HttpFailure, JsonClient, JsonResponse
 from dalemast.observability import log_event
@@ -144,7 +144,7 @@
                 raise WorkerGone(failure.message) from failure
             raise WorkerUnanswered(failure.message) from failure
         if response.status == WRONG_LIFE:
-            raise WorkerGone("another life answers")
+            raise WorkerReplaced("another life answers")
         if response.status != 200:
             self._read_start(response)
             raise WorkerUnanswered(f"status {response.status}")
--- /dev/null
+++ b/tests/core/supervision/test_lives.py
@@ -0,0 +1,92 @@
+"""Lives of one worker whose reports arrive in any order, any time after they were sent."""
+
+from __future__ import annotations
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from dalemast.core.supervision.base import WorkerLife
+from dalemast.core.supervision.lives import WorkerLives
+from dalemast.core.workloads import Resources
+
+LIVES = 4
+
+
+def make_life(number: int) -> WorkerLife:
+    return WorkerLife(
+        id=f"i-{number}",
+        service="floor",
+        data_centre="austin",
+        capacity=Resources(cpu=4000, memory_mb=1000),
+        labels=frozenset(),
+        is_leaving=False,
+    )
+
+
+class Worker:
+    """A worker whose lives follow one another, with an agent that calls it and hears reports."""
+
+    def __init__(self) -> None:
+        self.lives = WorkerLives()
+        self.number = 1
+        self._clock = itertools.count(1)
+
+    def report(self, number: int) -> None:
+        """Deliver a report of the present life or of one that is over."""
+        before = self.lives.current
+        self.lives.meet(make_life(min(number, self.number)), now=next(self._clock))
+        if before is not None:
+            assert self.lives.current == before, "a report alone replaced a life"
+
+    def call(self) -> None:
+        """Let the agent call the life that it believes in, and the present one answer."""
+        current = self.lives.current
+        asked_at = next(self._clock)
+        if current is None:
+            return
+        if current.id == f"i-{self.number}":
+            self.lives.confirm(asked_at=asked_at)
+            assert self.lives.claimant is None
+        else:
+            self.lives.lose(is_over=True)
+
+    def be_silent(self) -> None:
+        """Let the agent give the life up since nothing answers."""
+        self.lives.lose(is_over=False)
+
+    def crash(self) -> None:
+        """Let the next life begin."""
+        self.number = min(self.number + 1, LIVES)
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("report"), st.integers(1, LIVES)),
+        st.tuples(st.sampled_from(["call", "silent", "crash"]), st.just(0)),
+    ),
+    max_size=40,
+)
+
+
+class LivesProperties(TestCase):
+    @given(STEPS)
+    def test_the_life_that_is_there_always_gets_through(self, steps: list[tuple[str, int]]) -> None:
+        worker = Worker()
+        for kind, number in steps:
+            match kind:
+                case "report":
+                    worker.report(number)
+                case "call":
+                    worker.call()
+                case "silent":
+                    worker.be_silent()
+                case "crash":
+                    worker.crash()
+        for _ in range(LIVES + 1):
+            worker.report(LIVES)
+            worker.call()
+        assert worker.lives.current is not None
+        assert worker.lives.current.id == f"i-{worker.number}"
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -60,7 +60,7 @@
         super().setUp()
         limits = SupervisorLimits(owner_patience_s=PATIENCE_S, stop_s=STOP_S)
         self.supervisor = Supervisor(limits=limits)
-        self.supervisor.meet_life(make_life())
+        self.supervisor.meet_life(make_life(), now=0.0)
         self.look(now=0.0)
 
     def look(
@@ -76,6 +76,15 @@
     def start(self, request: StartRequest, now: float = 1.0) -> list[Action]:
         return self.supervisor.start(request, now=now)
 
+    def run_task_after_look(self) -> RunId:
+        self.look(now=1.0)
+        return self.run_task(make_start())
+
+    def replace_life(self, life_id: str) -> list[Action]:
+        """Let another life report, and the worker disown the one before."""
+        self.supervisor.meet_life(make_life(life_id), now=1.0)
+        return self.supervisor.lose_life(is_over=True)
+
     def run_task(self, request: StartRequest, now: float = 1.0) -> RunId:
         self.start(request, now=now)
         self.supervisor.take_outcome(
@@ -103,12 +112,12 @@
         self.assertEqual([], self.start(request))
 
     def test_nothing_starts_before_the_first_look(self) -> None:
-        self.supervisor.meet_life(make_life("i-2"))
+        self.replace_life("i-2")
         (report,) = pick(self.start(make_start()), ReportEnd)
         self.assertIs(EndReason.NOT_TAKEN, report.reason)
 
     def test_runs_of_an_earlier_agent_are_stopped_before_anything_starts(self) -> None:
-        self.supervisor.meet_life(make_life("i-2"))
+        self.replace_life("i-2")
         stray = RunId("old", TaskKey(0, 0), 1)
         (stop,) = pick(self.look(ListedRun(stray, 5.0), now=1.0), OrderStop)
         self.assertEqual(stray, stop.run_id)
@@ -198,12 +207,65 @@
 class LifeTests(SupervisorTestCase):
     def test_a_new_life_ends_all_runs(self) -> None:
         self.run_task(make_start())
-        (report,) = pick(self.supervisor.meet_life(make_life("i-2")), ReportEnd)
+        (report,) = pick(self.replace_life("i-2"), ReportEnd)
         self.assertIs(EndReason.STOPPED, report.reason)
 
+    def test_a_late_report_of_an_earlier_life_changes_nothing(self) -> None:
+        self.replace_life("i-2")
+        self.look(now=1.0)
+        run_id = self.run_task(make_start(cpu=3000))
+        self.assertEqual([], self.supervisor.meet_life(make_life("i-1"), now=1.2))
+        self.assertEqual("i-2", self.supervisor.life.id)
+        self.assertIn(run_id, self.supervisor.runs)
+        self.assertEqual(1000, self.supervisor.get_free().cpu)
+
+    def test_a_late_report_of_a_life_never_met_changes_nothing(self) -> None:
+        """An agent that has just started may hear of the earlier life second."""
+        run_id = self.run_task(make_start(cpu=3000))
+        self.assertEqual([], self.supervisor.meet_life(make_life("i-0"), now=1.1))
+        self.assertTrue(self.supervisor.has_work)
+        self.assertEqual(
+            [], pick(self.look(ListedRun(run_id, 10.0), now=1.3, asked_at=1.2), ReportEnd)
+        )
+        self.assertEqual("i-1", self.supervisor.life.id)
+        self.supervisor.lose_life(is_over=False)
+        self.supervisor.meet_life(make_life("i-0"), now=1.4)
+        self.assertIsNone(self.supervisor.life)
+
+    def test_an_answer_asked_for_before_the_report_proves_nothing(self) -> None:
+        run_id = self.run_task(make_start())
+        self.supervisor.meet_life(make_life("i-2"), now=1.2)
+        self.look(ListedRun(run_id, 10.0), now=1.3, asked_at=1.1)
+        self.supervisor.lose_life(is_over=True)
+        self.assertEqual("i-2", self.supervisor.life.id)
+
+    def test_a_life_that_deregistered_never_comes_back(self) -> None:
+        self.supervisor.end_life("i-1")
+        self.supervisor.meet_life(make_life("i-1"), now=1.2)
+        self.assertIsNone(self.supervisor.life)
+
+    def test_a_late_goodbye_of_an_earlier_life_ends_nothing(self) -> None:
+        self.replace_life("i-2")
+        run_id = self.run_task_after_look()
+        self.assertEqual([], self.supervisor.end_life("i-1"))
+        self.assertIn(run_id, self.supervisor.runs)
+
+    def test_a_life_that_was_out_of_reach_comes_back(self) -> None:
+        self.supervisor.lose_life(is_over=False)
+        self.supervisor.meet_life(make_life("i-1"), now=2.0)
+        self.assertEqual("i-1", self.supervisor.life.id)
+        self.assertFalse(self.supervisor.is_accepting(now=2.0))
+
+    def test_a_wrong_report_met_first_does_not_bar_the_life_that_is_there(self) -> None:
+        self.supervisor.lose_life(is_over=False)
+        self.supervisor.meet_life(make_life("i-0"), now=2.0)
+        self.supervisor.lose_life(is_over=True)
+        self.supervisor.meet_life(make_life("i-1"), now=2.1)
+        self.assertEqual("i-1", self.supervisor.life.id)
+
     def test_a_leaving_worker_gets_no_start_and_keeps_its_runs(self) -> None:
         self.run_task(make_start())
-        self.supervisor.meet_life(make_life(is_leaving=True))
+        self.supervisor.meet_life(make_life(is_leaving=True), now=1.0)
         (report,) = pick(self.start(make_start("b")), ReportEnd)
         self.assertIs(EndReason.NOT_TAKEN, report.reason)
         self.assertEqual(1, len(self.supervisor.runs))
@@ -218,7 +280,7 @@
 class FirstLookTests(SupervisorTestCase):
     def test_owners_are_told_when_a_new_life_takes_starts(self) -> None:
         """An agent that ticks each 50 ms may never see that starts were not taken in between."""
-        self.supervisor.meet_life(make_life("i-2"))
+        self.replace_life("i-2")
         self.assertFalse(self.supervisor.is_accepting(now=1.0))
         self.assertEqual([ReportRoom()], self.look(now=1.0))
         self.assertTrue(self.supervisor.is_accepting(now=1.0))
--- /dev/null
+++ b/tests/fleet/test_lives.py
@@ -0,0 +1,58 @@
+"""Reports of a worker's earlier lives, held up on their way, that arrive while a later one runs."""
+
+from __future__ import annotations
+
+import asyncio
+
+from dalemast.platform.wire import CapacityBody, Heartbeat
+from tests.base import AsyncTestCase, wait_until
+from tests.fleet.base import SERVICE, LocalFleet, make_text
+
+JOB = "00000000000000d1"
+
+
+async def deliver_report(fleet: LocalFleet, life_id: str) -> None:
+    """Deliver a report of a life that is no more to the first agent."""
+    address = fleet.agents[0]._settings.registration.address
+    body = Heartbeat(
+        service=SERVICE,
+        zone="austin",
+        state="ready",
+        seq=3,
+        capacity=CapacityBody(cpu=4000, memory_mb=65536),
+        labels=(),
+        clock_ms=1,
+    )
+    url = f"http://{address}/v1/Instances.Heartbeat/{life_id}"
+    answer = await fleet.client.request("POST", url, body=body)
+    assert answer.status == 200
+
+
+class LateReportTests(AsyncTestCase):
+    def test_a_run_goes_on_though_an_earlier_life_seems_to_report(self) -> None:
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                job = asyncio.create_task(fleet.submit(JOB, text=make_text(1.0)))
+                await wait_until(lambda: bool(fleet.get_running(JOB)), "the run to begin")
+                await deliver_report(fleet, "i-earlier")
+                self.assertEqual(200, (await job).status)
+                self.assertEqual(1, len(fleet.get_started(JOB)))
+
+        self.run_async(run())
+
+    def test_a_later_life_is_taken_in_while_nothing_runs(self) -> None:
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                worker = fleet.workers[0]
+                await worker.crash()
+                worker.start()
+                life_id = worker.life_id
+                await wait_until(
+                    lambda: life_id in fleet.entries[0].get_state()["workers"],  # type: ignore[operator]
+                    "the later life to be in reach",
+                )
+                await deliver_report(fleet, "i-earlier")
+                answer = await fleet.submit(JOB, text=make_text(0.1))
+                self.assertEqual(200, answer.status)
+
+        self.run_async(run())
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -9,7 +9,7 @@
 from dalemast.core.supervision import RunId, StartOutcome, StartRequest, WorkerLife
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.emulator import EmulatedWorker
-from dalemast.fleet.base import WorkerGone, WorkerUnanswered
+from dalemast.fleet.base import WorkerGone, WorkerReplaced, WorkerUnanswered
 from dalemast.http.client import HttpFailure
 from dalemast.platform import PlatformWorkerDriver
 from dalemast.platform.wire import EXPECTED_LIFE_HEADER
@@ -88,7 +88,7 @@
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
             driver.meet(make_life("i-gone"))
             self.assertIs(StartOutcome.WRONG_LIFE, await driver.start(make_request()))
-            with self.assertRaises(WorkerGone):
+            with self.assertRaises(WorkerReplaced):
                 await driver.look(wait_s=0.0, renews=True)
 
         self.play(scenario)
