Notice connections that fall silent for good while new ones work

Cause: an open connection may go silent without a reset. Read and tried on each path: - agent to worker, orders: all four kept connections fell silent together, so the three tries of a start met three dead ones; the start counted as unanswered, its room stayed taken until the lease was over, and two such starts made the worker doubted. - entry to entry: each of the two links vouched for the other, so a claim link that was silent alone stayed in use for as long as the other carried claims; each claim cost 0.15 s and then asked all. - agent to entry: the agent, which dials, gave a link with runs up only after 12 s, though the entry did after 0.45 s and the agent's patience had stopped the runs by then. - idle links and bytes under way: the kernel's probes watch idle connections alone, and its patience with unacknowledged bytes is minutes. - to the store: each call of up to four kept connections ran into its own time-out, 2.5 s for the feed.

The soak has the fault, by its proxy.

Ruled out: letting the accepting end give up a silent link of a peer that is heard on the other one. It would count the peer as lost, and its claims would lapse though its runs go on.

--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -161,7 +161,10 @@
             pause_s = self._times.beat_s if is_busy else self._times.idle_beat_s
             if now - session.link.sent_at >= pause_s:
                 session.link.send(Beat())
-            if now - session.link.heard_at > self._times.idle_silence_s:
+            # A link that carries runs may be dead one by one, with the owner alive: its runs are
+            # stopped anyway after this time, and only a new link gives it the worker back.
+            limit_s = self._times.silence_s if is_busy else self._times.idle_silence_s
+            if now - session.link.heard_at > limit_s:
                 session.link.reset()
                 self.end_session(session)
 
--- a/dalemast/fleet/entry/peer_sessions.py
+++ b/dalemast/fleet/entry/peer_sessions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Protocol
 
 from dalemast.fleet.base import Member
@@ -26,6 +27,7 @@
 
     def __init__(self, *, link: Link, links: PeerSessionKeeper, is_dialled: bool) -> None:
         self.link = link
+        self.opened_at = time.monotonic()
         self.is_dialled = is_dialled
         self.member: Member | None = None
         self.is_ending = False
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterable
 
 from dalemast.fleet.base import Configuration, Member
@@ -38,6 +39,9 @@
 pause grows, since the beats of a whole fleet of entries grow with their square."""
 SILENT_BEATS = 2.5
 """Pauses between beats after which an entry counts as silent: two misses and some."""
+DEAF_LINK_S = 1.0
+"""Age from which an own link is given up when the other entry says that it hears nothing on it.
+A younger one may have its first message still under way."""
 
 
 class PeerLinks:
@@ -132,7 +136,7 @@
             case Bye():
                 session.is_ending = True
             case Beat():
-                pass
+                self._check_own_link(session, is_heard=message.hears_other)
 
     def end_session(self, session: PeerSession) -> None:
         """Note that a link has ended."""
@@ -160,13 +164,36 @@
         """Send beats, give up silent links, forget owners that are gone."""
         beat_s = max(BEAT_S, len(self._dialled) / BEATS_PER_S)
         for session in list(self._sessions):
-            if self._carries_beats(session) and now - session.link.sent_at >= beat_s:
-                session.link.send(Beat())
+            hears_other = self._hears_on_accepted(session, now, beat_s)
+            # What a busy link carries stands for its beats, but does not tell of the other link.
+            is_due = now - session.link.sent_at >= beat_s or not hears_other
+            if is_due and self._carries_beats(session):
+                session.link.send(Beat(hears_other=hears_other))
             if now - self._get_heard_at(session) > SILENT_BEATS * beat_s:
                 log_event("peer:silent", peer=session.member.name if session.member else "")
                 self.end_session(session)
         self._claims.sweep(now)
 
+    def _hears_on_accepted(self, session: PeerSession, now: float, beat_s: float) -> bool:
+        """Tell whether the entry at the other end is heard on the link that it has dialled."""
+        member = session.member
+        accepted = None if member is None else self._accepted.get(member.incarnation)
+        return accepted is not None and now - accepted.link.heard_at <= SILENT_BEATS * beat_s
+
+    def _check_own_link(self, session: PeerSession, *, is_heard: bool) -> None:
+        """Dial an entry anew that does not hear this one though its own link works.
+
+        A connection can fall silent alone. Its claims would go unanswered for as long as the
+        other link kept both ends in reach.
+        """
+        own = None if session.member is None else self._dialled.get(session.member.name)
+        if is_heard or session.is_dialled or own is None:
+            return
+        if time.monotonic() - own.opened_at < DEAF_LINK_S:
+            return
+        log_event("peer:deaf", peer=own.member.name if own.member else "")
+        self.end_session(own)
+
     def _carries_beats(self, session: PeerSession) -> bool:
         """Tell whether beats go out here: of two links with one entry, on the dialled one."""
         member = session.member
@@ -220,8 +247,11 @@
             log_event("peer:link", peer=member.name, peers=len(self._dialled))
             self._claims.move_all()
             return
+        before = self._accepted.get(member.incarnation)
         self._accepted[member.incarnation] = session
         self._claims.note_owner_back(member)
+        if before is not None and before is not session:
+            self.end_session(before)
 
     def _tell_configuration(self, configuration: Configuration) -> None:
         news = ConfigurationNews(version=configuration.version, queues=configuration.queues)
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -66,7 +66,13 @@
 
 
 class Beat(Message, frozen=True, tag="b"):
-    """Nothing new; the sender is alive."""
+    """Nothing new; the sender is alive.
+
+    Between entries ``hears_other`` tells whether the sender still hears the other one on the link
+    that the other has dialled.
+    """
+
+    hears_other: bool = True
 
 
 class EntryHello(Message, frozen=True, tag="h"):
--- a/dalemast/fleet/links.py
+++ b/dalemast/fleet/links.py
@@ -44,6 +44,10 @@
 with a reset, so its peers dial again within about a second."""
 PROBES = 2
 """Unanswered probes after which the kernel gives a connection up."""
+UNACKNOWLEDGED_MS = 1500
+"""The kernel gives a connection up when bytes stay unacknowledged for this long. Its probes watch
+idle connections alone, and its own patience with bytes under way is minutes: the link would stay
+open for as long, and no new one would be dialled. A slowed host still acknowledges in tenths."""
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -127,14 +131,15 @@
         future.exception()
 
 
-def probe_when_idle(stream: IOStream) -> None:
-    """Let the kernel probe an idle connection, which costs neither side's processor."""
+def watch_connection(stream: IOStream) -> None:
+    """Let the kernel notice that the other end is gone, which costs neither side's processor."""
     sock = stream.socket
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_PAUSE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PAUSE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
     except OSError as error:
         log_error("link:no-probes", reason=str(error))
 
@@ -154,7 +159,7 @@
         self.set_nodelay(True)
         stream = getattr(self.ws_connection, "stream", None)
         if stream is not None:
-            probe_when_idle(stream)
+            watch_connection(stream)
         self._link = Link(
             write=lambda data: self.write_message(data, binary=False),
             get_stream=lambda: getattr(self.ws_connection, "stream", None),
@@ -255,7 +260,7 @@
         stream = getattr(connection.protocol, "stream", None)
         if stream is not None:
             stream.set_nodelay(True)
-            probe_when_idle(stream)
+            watch_connection(stream)
         receiver = self._make_receiver(link)
         try:
             while True:
--- a/dalemast/http/client.py
+++ b/dalemast/http/client.py
@@ -69,10 +69,13 @@
         body: object = None,
         headers: dict[str, str] | None = None,
         timeout_s: float = DEFAULT_TIMEOUT_S,
+        is_fresh: bool = False,
     ) -> JsonResponse:
         """Send a request and return the response, whatever its status.
 
-        ``body`` is encoded as JSON unless it is bytes. Raises :class:`HttpFailure`.
+        ``body`` is encoded as JSON unless it is bytes. ``is_fresh`` asks for a new connection, as
+        after a call without an answer: other kept ones may have fallen silent with it. Raises
+        :class:`HttpFailure`.
         """
         request = HTTPRequest(
             url,
@@ -83,6 +86,7 @@
             connect_timeout=min(timeout_s, 5.0),
             request_timeout=timeout_s,
             ca_certs=self._ca_file or None,
+            prepare_curl_callback=_connect_anew if is_fresh else None,
         )
         try:
             response = await self._get_client().fetch(request, raise_error=False)
@@ -102,6 +106,11 @@
         return self._client
 
 
+def _connect_anew(curl: pycurl.Curl) -> None:
+    """Let one request use no kept connection; handles are used again, but reset before."""
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
 def _encode(body: object) -> bytes | None:
     if body is None:
         return None
--- a/dalemast/platform/store.py
+++ b/dalemast/platform/store.py
@@ -61,6 +61,9 @@
         self._url = f"http://{address}"
         self._client = JsonClient(max_clients=MAX_CALLS)
         self._is_reachable = True
+        self._was_unanswered = False
+        """The last call got no answer: the next one takes a new connection, since each kept one
+        that has fallen silent would cost the whole time-out of another call."""
 
     async def announce(self, member: Member) -> None:
         """Write this entry's row; tries until it is written."""
@@ -149,11 +152,17 @@
     ) -> JsonResponse:
         try:
             response = await self._client.request(
-                method, self._url + path, body=body, timeout_s=timeout_s
+                method,
+                self._url + path,
+                body=body,
+                timeout_s=timeout_s,
+                is_fresh=self._was_unanswered,
             )
         except HttpFailure as failure:
+            self._was_unanswered = True
             self._note(failure.message)
             raise StoreUnavailable(failure.message) from failure
+        self._was_unanswered = False
         if response.status not in (200, GONE):
             self._note(f"status {response.status}")
             raise StoreUnavailable(f"status {response.status}")
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -73,6 +73,7 @@
         self._clock_ahead_s: float | None = None
         self._leased_until = 0.0
         self._ends_seen = 0
+        self._was_stop_unanswered = False
 
     @property
     def leased_until(self) -> float:
@@ -92,6 +93,7 @@
         later life, since its owner is told that it ended with the life it was meant for.
         """
         headers = self._headers
+        is_fresh = False
         for timeout_s in START_TIMEOUTS_S:
             call = StartCall(
                 task=_name_task(request.run_id),
@@ -101,9 +103,10 @@
                 fence=self._fence,
             )
             try:
-                response = await self._call(START_PATH, call, timeout_s, headers)
+                response = await self._call(START_PATH, call, timeout_s, headers, is_fresh=is_fresh)
             except HttpFailure:
                 # Counted and logged by the caller once all tries are over.
+                is_fresh = True
                 continue
             outcome = self._read_start(response)
             if outcome is not StartOutcome.FENCED:
@@ -115,10 +118,14 @@
         """Order a stop; return whether it was answered."""
         call = StopCall(task=_name_task(run_id), run=run_id.run, fence=self._fence)
         try:
-            response = await self._call(STOP_PATH, call, STOP_TIMEOUT_S, self._headers)
+            response = await self._call(
+                STOP_PATH, call, STOP_TIMEOUT_S, self._headers, is_fresh=self._was_stop_unanswered
+            )
         except HttpFailure as failure:
+            self._was_stop_unanswered = True
             log_event("stop:unanswered", job=run_id.job_id, reason=failure.message)
             return False
+        self._was_stop_unanswered = False
         return response.status == 200
 
     async def look(self, *, wait_s: float, renews: bool) -> Look:
@@ -151,10 +158,21 @@
         return self._read_look(response, asked_at)
 
     async def _call(
-        self, path: str, body: msgspec.Struct, timeout_s: float, headers: dict[str, str]
+        self,
+        path: str,
+        body: msgspec.Struct,
+        timeout_s: float,
+        headers: dict[str, str],
+        *,
+        is_fresh: bool,
     ) -> JsonResponse:
         return await self._orders.request(
-            "POST", self._url + path, body=body, headers=headers, timeout_s=timeout_s
+            "POST",
+            self._url + path,
+            body=body,
+            headers=headers,
+            timeout_s=timeout_s,
+            is_fresh=is_fresh,
         )
 
     def _renew(self) -> int:
--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -61,7 +62,8 @@
     """Entries, agents with their workers, and a store, as a context manager.
 
     ``links_per_agent`` is how many entries see each worker once the fleet is ready: all of them,
-    unless ``agent_settings`` bound an agent's links.
+    unless ``agent_settings`` bound an agent's links. ``make_proxy`` starts a proxy in front of an
+    address of links, workers or the store, and returns its own.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         cpu: int = 4000,
         agent_settings: dict[str, Any] | None = None,
         links_per_agent: int | None = None,
+        make_proxy: Callable[[str], Awaitable[str]] | None = None,
     ) -> None:
         self.store = EmulatedStore(address="127.0.0.1:0")
         self._entry_count = entries
@@ -79,6 +82,7 @@
         self._cpu = cpu
         self._agent_settings = agent_settings or {}
         self._links_per_agent = entries if links_per_agent is None else links_per_agent
+        self._make_proxy = make_proxy
         self.entries: list[FleetEntryProcess] = []
         self.agents: list[FleetAgentProcess] = []
         self.workers: list[EmulatedWorker] = []
@@ -87,7 +91,8 @@
     async def __aenter__(self) -> LocalFleet:
         self.store.start()
         self.store.put("op", "config", make_configuration(7))
-        self.entry_settings = [self._make_entry(n) for n in range(self._entry_count)]
+        self._store_address = await self._front(self.store.address)
+        self.entry_settings = [await self._make_entry(n) for n in range(self._entry_count)]
         for settings in self.entry_settings:
             await self.add_entry(settings)
         for number in range(self._worker_count):
@@ -192,27 +197,35 @@
             row for worker in self.workers for row in worker.started if row[0].startswith(job_id)
         ]
 
-    def _make_entry(self, number: int) -> FleetEntrySettings:
+    async def _front(self, address: str) -> str:
+        """Return where others reach an address: a proxy's if there are proxies."""
+        return await self._make_proxy(address) if self._make_proxy else address
+
+    async def _make_entry(self, number: int) -> FleetEntrySettings:
+        links = find_address()
         return FleetEntrySettings(
             name=f"entry-{number}",
             data_centre="austin",
             callers=ListenerSettings(address=find_address()),
             readiness=ListenerSettings(address=find_address()),
-            links=ListenerSettings(address=find_address()),
+            links=ListenerSettings(address=links),
+            advertised=await self._front(links),
             metrics=ListenerSettings(address="127.0.0.1:0"),
-            store=AddressSettings(address=self.store.address),
+            store=AddressSettings(address=self._store_address),
             drain_limit_s=5.0,
         )
 
-    def _make_agent(self, number: int, worker: EmulatedWorker, reports: str) -> FleetAgentSettings:
+    async def _make_agent(
+        self, number: int, worker: EmulatedWorker, reports: str
+    ) -> FleetAgentSettings:
         return FleetAgentSettings(
             name=f"agent-{number}",
             data_centre="austin",
             registration=ListenerSettings(address=reports),
-            worker=AddressSettings(address=worker.address),
+            worker=AddressSettings(address=await self._front(worker.address)),
             metrics=ListenerSettings(address="127.0.0.1:0"),
-            store=AddressSettings(address=self.store.address),
-            seeds=tuple(s.links.address for s in self.entry_settings[:1]),
+            store=AddressSettings(address=self._store_address),
+            seeds=tuple(s.advertised for s in self.entry_settings[:1]),
             **self._agent_settings,
         )
 
@@ -226,7 +239,7 @@
             cpu=self._cpu,
         )
         worker.start()
-        agent = FleetAgentProcess(settings=self._make_agent(number, worker, reports))
+        agent = FleetAgentProcess(settings=await self._make_agent(number, worker, reports))
         await agent.start()
         self.workers.append(worker)
         self.agents.append(agent)
--- /dev/null
+++ b/tests/fleet/test_silent.py
@@ -0,0 +1,124 @@
+"""Open connections that fall silent for good, without a reset, while new ones work."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from dalemast.core.ownership import choose_home
+from dalemast.core.supervision import StartOutcome
+from tests.base import AsyncTestCase, wait_until
+from tests.fleet.base import LocalFleet, make_configuration, make_text
+from tests.soak.proxy import Proxy
+
+JOB = "00000000000000e{:x}"
+
+
+async def claim_forever(fleet: LocalFleet, *, entry: int, home: str) -> None:
+    """Claim ids, one after the other, whose home is another entry."""
+    names = [settings.name for settings in fleet.entry_settings]
+    claims = fleet.entries[entry]._peers.claims
+    for number in itertools.count(1):
+        job_id = f"{number:016x}"
+        if choose_home(job_id, names) == home:
+            await claims.claim(job_id)
+            claims.release(job_id)
+            await asyncio.sleep(0.02)
+
+
+class ProxiedFleet:
+    """A fleet with a proxy in front of every address of links, workers and the store."""
+
+    def __init__(self, **arguments: Any) -> None:
+        self._proxies: dict[str, Proxy] = {}
+        self._fleet = LocalFleet(make_proxy=self._make_proxy, **arguments)
+
+    async def __aenter__(self) -> tuple[LocalFleet, Callable[[str], None]]:
+        return await self._fleet.__aenter__(), self._swallow
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._fleet.__aexit__(*error)
+        for proxy in self._proxies.values():
+            await proxy.close()
+
+    async def _make_proxy(self, address: str) -> str:
+        proxy = self._proxies[address] = Proxy(target=address)
+        await proxy.start()
+        return proxy.address
+
+    def _swallow(self, address: str) -> None:
+        """Let all connections to an address fall silent."""
+        self._proxies[address].swallow_open()
+
+
+class SilentConnectionTests(AsyncTestCase):
+    def play(
+        self, scenario: Callable[[LocalFleet, Callable[[str], None]], Awaitable[None]], **shape: int
+    ) -> None:
+        async def run() -> None:
+            async with ProxiedFleet(**shape) as (fleet, swallow):
+                await scenario(fleet, swallow)
+
+        self.run_async(run())
+
+    def test_an_entry_and_an_agent_meet_anew_while_a_run_goes(self) -> None:
+        async def scenario(fleet: LocalFleet, swallow: Callable[[str], None]) -> None:
+            job = asyncio.create_task(fleet.submit(JOB.format(1), text=make_text(2.0)))
+            await wait_until(lambda: bool(fleet.get_running(JOB.format(1))), "the run to begin")
+            swallow(fleet.entry_settings[0].links.address)
+            # The run's owner and its agent no longer hear one another: it is stopped, never two.
+            self.assertEqual(200, (await job).status)
+            self.assertEqual(200, (await fleet.submit(JOB.format(2))).status)
+
+        self.play(scenario, entries=1, workers=1)
+
+    def test_an_idle_link_that_fell_silent_is_noticed_by_its_next_start(self) -> None:
+        async def scenario(fleet: LocalFleet, swallow: Callable[[str], None]) -> None:
+            swallow(fleet.entry_settings[0].links.address)
+            self.assertEqual(200, (await fleet.submit(JOB.format(3))).status)
+
+        self.play(scenario, entries=1, workers=1)
+
+    def test_one_of_two_links_between_entries_is_dialled_anew(self) -> None:
+        async def scenario(fleet: LocalFleet, swallow: Callable[[str], None]) -> None:
+            first = fleet.entries[0]
+            own = first._peers._dialled["entry-1"]
+            # What the second entry asks keeps its own link in use, so both stay in reach by it.
+            asking = asyncio.create_task(claim_forever(fleet, entry=1, home="entry-0"))
+            await asyncio.sleep(1.0)
+            swallow(fleet.entry_settings[1].links.address)
+            await wait_until(
+                lambda: first._peers._dialled.get("entry-1") not in (None, own),
+                "the first entry to dial the other anew",
+            )
+            asking.cancel()
+            for number in range(4, 8):
+                self.assertEqual(200, (await fleet.submit(JOB.format(number))).status)
+
+        self.play(scenario, entries=2, workers=1)
+
+    def test_a_worker_is_ordered_over_new_connections(self) -> None:
+        async def scenario(fleet: LocalFleet, swallow: Callable[[str], None]) -> None:
+            agent = fleet.agents[0]
+            jobs = [fleet.submit(JOB.format(n), text=make_text(0.3)) for n in range(8, 12)]
+            for answer in await asyncio.gather(*jobs):
+                self.assertEqual(200, answer.status)
+            swallow(fleet.workers[0].address)
+            self.assertEqual(200, (await fleet.submit(JOB.format(12))).status)
+            unanswered = f"orders.{StartOutcome.UNANSWERED.value}"
+            self.assertEqual(0, agent._metrics.get_count(unanswered))
+
+        self.play(scenario, entries=1, workers=1)
+
+    def test_a_configuration_arrives_though_the_feed_fell_silent(self) -> None:
+        async def scenario(fleet: LocalFleet, swallow: Callable[[str], None]) -> None:
+            swallow(fleet.store.address)
+            fleet.store.put("op", "config", make_configuration(9))
+            await wait_until(
+                lambda: all(e.get_state()["configuration"] == 9 for e in fleet.entries),
+                "every entry to have the configuration",
+            )
+
+        self.play(scenario, entries=2, workers=1)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -46,6 +46,8 @@
         self.address = ""
         self._ticked_at = time.monotonic()
         self._doubted_until = 0.0
+        self._generation = 0
+        """Connections of earlier generations swallow what they get and pass nothing on."""
         self.heal()
 
     async def start(self) -> None:
@@ -73,6 +75,10 @@
         for event in self._open.values():
             event.set()
 
+    def swallow_open(self) -> None:
+        """Let all open connections fall silent for good, without a reset; new ones work."""
+        self._generation += 1
+
     def reset(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
@@ -114,6 +120,7 @@
     async def _pump(
         self, way: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        generation = self._generation
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while data := await reader.read(CHUNK_BYTES):
                 if self._stood_still():
@@ -122,8 +129,13 @@
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 await self._open[way].wait()
+                if generation < self._generation:
+                    continue
                 if reader.exception() is not None:
                     # The sender has reset the connection while its bytes were held up.
                     return
                 writer.write(data)
                 await writer.drain()
+            if generation < self._generation:
+                # The other end of a silent connection does not hear of its end either.
+                await asyncio.Event().wait()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -204,10 +204,13 @@
 
     async def _break_proxy(self) -> None:
         proxy: Proxy = self._rng.choice(self._cluster.proxies)
-        kind = self._rng.choice(["reset", "delay", "both", "up", "down"])
+        kind = self._rng.choice(["reset", "swallow", "delay", "both", "up", "down"])
         if kind == "reset":
             proxy.reset()
             return
+        if kind == "swallow":
+            proxy.swallow_open()
+            return
         if kind == "delay":
             proxy.delay_s = self._rng.uniform(0.01, 0.3)
         else:
