--- a/dalemast/fleet/process.py
+++ b/dalemast/fleet/process.py
@@ -18,7 +18,7 @@
 from dalemast.process import BaseProcess
 from dalemast.settings import FleetSettings
 
-__all__ = ["TICK_S", "BaseFleetProcess"]
+__all__ = ["STANDSTILLS", "TICK_S", "BaseFleetProcess"]
 
 TICK_S = 0.05
 """The grain of time-outs; the shortest, a beat, is 0.12 s."""
@@ -30,6 +30,10 @@
 in its sockets still. On a crowded host ticks are late by up to some tenths of a second."""
 
 
+STANDSTILLS = "process.stood-still"
+"""Counter of the times that this process did not run for so long that it gave up what had begun."""
+
+
 class BaseFleetProcess(BaseProcess):
     """A role of the fleet: its times, its metrics, the platform's store, and a ticking clock."""
 
@@ -104,6 +108,7 @@
         if not paused_s:
             return False
         log_event("process:stood-still", seconds=round(paused_s, 3))
+        self._metrics.count(STANDSTILLS)
         self._recover_from_pause()
         return True
 
