Dial hosts that say nothing again soon, with a wait that doubles from 0.1 s

Cause: when all hosts had lost power, agents met entries 0.75 s after both had started. An agent that dialled a host still without power waited 0.8 s for it, and the kernel sends the opening packet again only after a second. Agents and workers were up 0.2 to 0.4 s before the entries.

Change: a first try waits 0.1 s for its connection, each further one twice as long up to 0.8 s; the bound of 0.8 s on the whole opening stays, so a busy entry that accepts many links at once is not asked again and again. Pauses between tries are 0.05 to 0.25 s for the first 5 s (0.1 to 1 s before).

Ruled out: a shorter bound on the whole opening, which would make a starting entry with 67 agents serve each of them several times.

--- a/dalemast/fleet/links.py
+++ b/dalemast/fleet/links.py
@@ -31,14 +31,24 @@
 
 __all__ = ["Dialer", "Link", "LinkHandler"]
 
-CONNECT_TIMEOUT_S = 0.8
-"""A cut host says nothing; a live one answers within milliseconds, a slowed one within tenths."""
-FIRST_RETRY_S = 0.1
-LONGEST_RETRY_S = 1.0
+OPEN_TIMEOUT_S = 0.8
+"""Longest time from a try to an open link. A slowed host answers within tenths of a second."""
+FIRST_CONNECT_S = 0.1
+"""How long the first try waits for a connection; each further one waits twice as long, up to
+:data:`OPEN_TIMEOUT_S`. A host that is just starting says nothing at first, and the kernel sends the
+opening packet again only after a second: a new try reaches it sooner."""
+FIRST_RETRY_S = 0.05
+LONGEST_RETRY_S = 0.25
 """Bounds on the pause between tries. A restarted process is back within about a second."""
+DOUBTED_RETRY_S = 1.0
+"""Pause once an address has not answered for :data:`RESTART_S`."""
+RESTART_S = 5.0
+"""In this time a process that was killed or stopped is back, as a rule."""
 GIVE_UP_RETRY_S = 4.0
 """Pause once an address has not answered for :data:`DOUBT_AFTER_S`: its host is likely gone."""
 DOUBT_AFTER_S = 20.0
+MAX_DOUBLINGS = 4
+"""Enough for both pauses to reach their bounds."""
 PROBE_PAUSE_S = 1
 """Pause of the kernel's keep-alive probes. A host that lost power and is back answers the first one
 with a reset, so its peers dial again within about a second."""
@@ -220,24 +230,32 @@
             self._connection.close()
 
     async def _keep(self) -> None:
-        retry_s = FIRST_RETRY_S
+        tries = 0
         while True:
-            connection = await self._connect()
+            connection = await self._connect(min(FIRST_CONNECT_S * 2**tries, OPEN_TIMEOUT_S))
             if connection is not None:
-                retry_s = FIRST_RETRY_S
+                tries = 0
                 self._failing_since = None
                 await self._serve_safely(connection)
                 self._failing_since = time.monotonic()
-            await asyncio.sleep(retry_s * (0.5 + random.random()))
-            retry_s = min(retry_s * 2, LONGEST_RETRY_S)
-            if self.is_failing(time.monotonic(), longer_than_s=DOUBT_AFTER_S):
-                retry_s = GIVE_UP_RETRY_S
-
-    async def _connect(self) -> WebSocketClientConnection | None:
-        request = HTTPRequest(self._url, connect_timeout=CONNECT_TIMEOUT_S)
+            await asyncio.sleep(self._get_retry_s(tries) * (0.5 + random.random()))
+            tries = min(tries + 1, MAX_DOUBLINGS)
+
+    def _get_retry_s(self, tries: int) -> float:
+        """Return the pause after so many tries in a row that failed."""
+        now = time.monotonic()
+        if self.is_failing(now, longer_than_s=DOUBT_AFTER_S):
+            return GIVE_UP_RETRY_S
+        if self.is_failing(now, longer_than_s=RESTART_S):
+            return DOUBTED_RETRY_S
+        return min(FIRST_RETRY_S * 2**tries, LONGEST_RETRY_S)
+
+    async def _connect(self, connect_s: float) -> WebSocketClientConnection | None:
+        """Open a link; ``connect_s`` bounds the wait for its connection alone."""
+        request = HTTPRequest(self._url, connect_timeout=connect_s)
         connecting = websocket_connect(request, max_message_size=MAX_FRAME_BYTES)
         try:
-            return await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+            return await asyncio.wait_for(connecting, OPEN_TIMEOUT_S)
         except (OSError, HTTPError, HTTPTimeoutError, StreamClosedError, TimeoutError):
             # An address that does not answer is normal here: hosts go, restart and are cut off.
             # What follows from it (a lost owner or peer) is logged where it is decided.
