Let a stopping entry take what it can finish, and answer what it can't

Change: it takes a job that is expected to end before the process does (expected chain and the usual margin), and refuses longer ones at once. At the end of its time, the platform's grace less 0.4 s, it stops what is left and answers it as given up, so that its caller may submit it elsewhere at once. The setting grace_s replaces drain_limit_s in the fleet's roles; the templates fill it.

Ruled out: refusing at SIGTERM what takes longer than the grace from arrival: all of it would be lost, though the next entry of the data centre is reached by new connections only.

Tests: two new ones of a stopping entry, which failed before.

--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -6,7 +6,7 @@
 
 from dalemast.core.workloads import JobRequest, StepRequest, TaskKey
 
-__all__ = ["LATE_FACTOR", "ON_WORKER", "Job", "Task", "TaskPhase"]
+__all__ = ["LATE_FACTOR", "ON_WORKER", "START_MARGIN", "Job", "Task", "TaskPhase"]
 
 START_MARGIN = 0.25
 """Share of a job's expected chain by which it must begin earlier than it could, since its slowest
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -23,7 +23,7 @@
 from dalemast.core.scheduling.choices import WorkerChoice
 from dalemast.core.scheduling.estimates import RunTimes
 from dalemast.core.scheduling.hopeless import SeenWorkers
-from dalemast.core.scheduling.jobs import ON_WORKER, Job, Task, TaskPhase
+from dalemast.core.scheduling.jobs import ON_WORKER, START_MARGIN, Job, Task, TaskPhase
 from dalemast.core.scheduling.paces import (
     PACE_WEIGHT,
     SLOW_PACE,
@@ -80,6 +80,10 @@
         """The jobs that have not ended, by id."""
         return self._jobs
 
+    def expect_s(self, request: JobRequest) -> float:
+        """Return the time in which a job that begins at once is done, with a margin, in seconds."""
+        return (1.0 + START_MARGIN) * self._expect_chain(request)
+
     def submit(self, request: JobRequest, *, now: float) -> list[Action]:
         """Take a job on."""
         chain_s = self._expect_chain(request)
--- a/dalemast/fleet/agent/process.py
+++ b/dalemast/fleet/agent/process.py
@@ -72,7 +72,7 @@
         """Take no more starts and let what runs come to its end."""
         log_event("process:stopping", runs=len(self._supervisor.runs))
         self._worker.apply(self._supervisor.drain())
-        end_by = time.monotonic() + self._settings.drain_limit_s
+        end_by = time.monotonic() + self._get_drain_s()
         while not self._supervisor.is_idle and time.monotonic() < end_by:
             await asyncio.sleep(TICK_S)
         log_event("process:stopped", runs=len(self._supervisor.runs))
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -171,6 +171,11 @@
             if job.is_submitted and self._scheduler.open_jobs[job_id].has_begun:
                 self._drop(job_id, "the entry stood still")
 
+    def abandon_all(self) -> None:
+        """Drop every job, since this process ends."""
+        for job_id in list(self._open):
+            self._drop(job_id, "the entry stops")
+
     async def _claim(self, job: OpenJob) -> JobOutcome | None:
         """Claim a job's id; return why it can't be had, or None."""
         assert self._claims is not None
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -36,8 +36,14 @@
 
 __all__ = ["FleetEntryProcess"]
 
-ACCEPT_WHILE_DRAINING_S = 2.0
-"""How long after a planned stop begins jobs are still taken on open connections."""
+BALANCER_S = 2.3
+"""How long after a planned stop begins new connections may still arrive: the balancer asks for
+readiness once a second and leaves an entry out after two misses."""
+DRAINING_RETRY_S = 0.1
+"""When a caller that is refused during a planned stop may come back, to another entry."""
+STOPS_S = 0.1
+"""How long a stopping entry waits for the stops of jobs that it gave up, so that their ids are free
+when callers submit them elsewhere."""
 MIN_DRAIN_S = 0.3
 """Callers' requests under way when the stop begins arrive within this time."""
 
@@ -110,9 +116,9 @@
 
     async def run(self, request: JobRequest) -> JobOutcome:
         """Run a job, unless a planned stop is too far on."""
-        since = self._draining_since
-        if since is not None and time.monotonic() - since > ACCEPT_WHILE_DRAINING_S:
-            return JobTurnedAway(cause="draining", retry_after_s=0.1)
+        if not self._has_time_for(request):
+            log_event("job:refused", job=request.id, queue=request.queue.name, cause="draining")
+            return JobTurnedAway(cause="draining", retry_after_s=DRAINING_RETRY_S)
         return await self._desk.run(request)
 
     def leave(self, job_id: str) -> None:
@@ -152,18 +158,25 @@
         )
 
     async def drain(self) -> None:
-        """Finish what is open; take jobs on open connections for a little while longer."""
+        """Finish what is open, and jobs that still arrive and can be finished in time.
+
+        What is left at the end is answered as given up, so that its caller can submit it elsewhere
+        at once; cut off, it would have to find that out first.
+        """
         self._draining_since = time.monotonic()
         log_event("process:stopping", open_jobs=len(self._desk))
-        end_by = self._draining_since + self._settings.drain_limit_s
+        end_by = self._draining_since + self._get_drain_s()
         while time.monotonic() < end_by:
             drained_s = time.monotonic() - self._draining_since
             is_quiet = not len(self._desk)
             if is_quiet and drained_s > MIN_DRAIN_S and not self._ingress.open_connections:
                 break
-            if is_quiet and drained_s > ACCEPT_WHILE_DRAINING_S + MIN_DRAIN_S:
+            if is_quiet and drained_s > BALANCER_S:
                 break
             await asyncio.sleep(TICK_S)
+        if len(self._desk):
+            self._desk.abandon_all()
+            await asyncio.sleep(STOPS_S)
         log_event("process:stopped", open_jobs=len(self._desk))
 
     def get_unfinished(self) -> list[str]:
@@ -191,6 +204,13 @@
             },
         }
 
+    def _has_time_for(self, request: JobRequest) -> bool:
+        """Tell whether a job is expected to end before this process does."""
+        if self._draining_since is None:
+            return True
+        left_s = self._draining_since + self._get_drain_s() - time.monotonic()
+        return self._scheduler.expect_s(request) <= left_s
+
     def _take_configuration(self, configuration: Configuration) -> None:
         self._configuration.offer(configuration, source="store")
 
--- a/dalemast/fleet/process.py
+++ b/dalemast/fleet/process.py
@@ -30,6 +30,9 @@
 in its sockets still. On a crowded host ticks are late by up to some tenths of a second."""
 
 
+END_MARGIN_S = 0.4
+"""How long before it would be killed a stopping process ceases to wait for what is under way. Then
+it answers what is left and closes its links, which takes some milliseconds on an idle host."""
 STANDSTILLS = "process.stood-still"
 """Counter of the times that this process did not run for so long that it gave up what had begun."""
 
@@ -89,6 +92,10 @@
     async def _close_parts(self) -> None:
         """End the role's own links and listeners."""
 
+    def _get_drain_s(self) -> float:
+        """Return how long a planned stop may wait for what is under way, in seconds."""
+        return max(self._settings.grace_s - END_MARGIN_S, 0.0)
+
     def _start_metrics(self) -> None:
         """Listen to operators."""
         self._metrics_listener = MetricsListener(
--- a/dalemast/settings/fleet.py
+++ b/dalemast/settings/fleet.py
@@ -34,7 +34,7 @@
     ``seeds`` are link addresses of some entries; any of them may be gone. ``resend_ms`` is the
     soonest that a caller that lost its connection submits its job again, ``lease_max_ms`` the
     longest lease of a worker, and ``stop_ms`` the longest time that a stop takes; all three are the
-    platform's. ``drain_limit_s`` must be shorter than the time between SIGTERM and SIGKILL.
+    platform's. ``grace_s`` is the time between SIGTERM and SIGKILL.
     """
 
     name: str
@@ -47,7 +47,7 @@
     resend_ms: float = 1300.0
     lease_max_ms: float = 1000.0
     stop_ms: float = 50.0
-    drain_limit_s: float = 5.0
+    grace_s: float = 6.0
 
 
 class FleetEntrySettings(FleetSettings, frozen=True, kw_only=True):
--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -80,6 +80,7 @@
         workers: int = 2,
         cpu: int = 4000,
         agent_settings: dict[str, Any] | None = None,
+        entry_settings: dict[str, Any] | None = None,
         links_per_agent: int | None = None,
         make_proxy: Callable[[str], Awaitable[str]] | None = None,
     ) -> None:
@@ -88,6 +89,7 @@
         self._worker_count = workers
         self._cpu = cpu
         self._agent_settings = agent_settings or {}
+        self._entry_settings = entry_settings or {}
         self._links_per_agent = entries if links_per_agent is None else links_per_agent
         self._make_proxy = make_proxy
         self.entries: list[FleetEntryProcess] = []
@@ -241,7 +243,7 @@
             advertised=await self._front(links),
             metrics=ListenerSettings(address="127.0.0.1:0"),
             store=AddressSettings(address=self._store_address),
-            drain_limit_s=5.0,
+            **self._entry_settings,
         )
 
     async def _make_agent(
--- a/tests/fleet/test_path.py
+++ b/tests/fleet/test_path.py
@@ -322,6 +322,35 @@
 
         self.run_async(scenario())
 
+    def test_an_entry_that_stops_takes_what_it_can_finish(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                # Nothing is open, so the stop ends early; what counts is when the jobs arrive.
+                stop = asyncio.ensure_future(fleet.entries[0].drain())
+                await wait_until(lambda: fleet.entries[0].is_draining)
+                short = fleet.submit(f"{1:016x}", estimate_ms=100)
+                long = fleet.submit(f"{2:016x}", estimate_ms=20_000)
+                self.assertEqual(200, (await short).status)
+                refusal = await long
+                self.assertEqual(503, refusal.status)
+                self.assertEqual([], fleet.get_started(f"{2:016x}"))
+                await stop
+
+        self.run_async(scenario())
+
+    def test_what_a_stop_can_not_finish_is_answered_and_stopped(self) -> None:
+        async def scenario() -> None:
+            fleet = LocalFleet(entries=1, workers=1, entry_settings={"grace_s": 1.0})
+            async with fleet:
+                job = asyncio.ensure_future(fleet.submit(JOB, text=make_text(30.0)))
+                await wait_until(lambda: len(fleet.get_running(JOB)) == 1)
+                await fleet.entries[0].drain()
+                self.assertEqual(502, (await job).status)
+                await wait_until(lambda: not fleet.get_running(JOB))
+                self.assertEqual([], fleet.entries[0].get_unfinished())
+
+        self.run_async(scenario())
+
     def test_an_agent_that_stops_finishes_its_runs(self) -> None:
         async def scenario() -> None:
             async with LocalFleet(workers=1) as fleet:
