Offer freed room to the owner whose waiting work is the most urgent

Cause: the owner whose run had ended heard of the room at once and used it for whatever it had waiting. Each owner so kept its share of the workers for good.

When room is freed, the agent tells the most urgent owner at once whose task fits, else the one whose run ended. An owner that has nothing waiting gives the offer back, and the next one hears.

--- a/dalemast/core/scheduling/__init__.py
+++ b/dalemast/core/scheduling/__init__.py
@@ -2,6 +2,7 @@
 
 from dalemast.core.scheduling.actions import (
     Action,
+    AskRoom,
     EndReason,
     JobFinished,
     JobRefused,
@@ -9,6 +10,7 @@
     RefusalCause,
     StartTask,
     StopTask,
+    Want,
 )
 from dalemast.core.scheduling.base import BaseOrder, BasePlacement
 from dalemast.core.scheduling.estimates import RunTimes
@@ -19,6 +21,7 @@
 
 __all__ = [
     "Action",
+    "AskRoom",
     "BaseOrder",
     "BasePlacement",
     "EndReason",
@@ -36,5 +39,6 @@
     "SlowRun",
     "StartTask",
     "StopTask",
+    "Want",
     "WorkerView",
 ]
--- a/dalemast/core/scheduling/actions.py
+++ b/dalemast/core/scheduling/actions.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "Action",
+    "AskRoom",
     "EndReason",
     "JobFinished",
     "JobRefused",
@@ -16,6 +17,7 @@
     "RefusalCause",
     "StartTask",
     "StopTask",
+    "Want",
 ]
 
 
@@ -53,6 +55,26 @@
     DRAINING = "draining"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Want:
+    """What an owner lacks room for: the first of its waiting jobs.
+
+    ``rank`` is that job's key of the order, which compares across owners; the least goes first.
+    ``cpu`` is what its next task takes, in thousandths of a core.
+    """
+
+    rank: tuple[float, ...]
+    cpu: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskRoom:
+    """Tell agents what this owner wants room for, or that it wants none any more."""
+
+    workers: tuple[str, ...]
+    want: Want | None
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartTask:
     """Start a task on a worker. ``number`` counts the starts sent to that worker."""
@@ -111,4 +133,4 @@
     free_cpu: int
 
 
-Action = StartTask | StopTask | JobFinished | JobRefused
+Action = StartTask | StopTask | JobFinished | JobRefused | AskRoom
--- a/dalemast/core/scheduling/base.py
+++ b/dalemast/core/scheduling/base.py
@@ -17,7 +17,10 @@
 
     @abc.abstractmethod
     def get_key(self, job: Job, *, now: float) -> tuple[float, ...]:
-        """Return the sort key; the least goes first."""
+        """Return the sort key; the least goes first.
+
+        Keys of several owners are compared, so a time in them counts from now.
+        """
 
 
 class BasePlacement(abc.ABC):
--- a/dalemast/core/scheduling/choices.py
+++ b/dalemast/core/scheduling/choices.py
@@ -60,6 +60,10 @@
             self._most_free[service] = most
         return most
 
+    def get_accepting(self, service: str) -> list[WorkerView]:
+        """Return the workers of a service that a choice may pick once they have room."""
+        return self._get_quick(service)
+
     def note_start(self, service: str) -> None:
         """Note that room was taken on one of a service's workers."""
         self._most_free.pop(service, None)
--- a/dalemast/core/scheduling/orders.py
+++ b/dalemast/core/scheduling/orders.py
@@ -5,7 +5,10 @@
 from dalemast.core.scheduling.base import BaseOrder
 from dalemast.core.scheduling.jobs import Job
 
-__all__ = ["LeastSlackOrder", "PriorityOrder"]
+__all__ = ["BEGUN", "LATE", "ON_TIME", "LeastSlackOrder", "PriorityOrder"]
+
+BEGUN, ON_TIME, LATE = 0.0, 1.0, 2.0
+"""Standings of a job, first in every key: what has begun, what can be on time, what can't."""
 
 
 class LeastSlackOrder(BaseOrder):
@@ -15,8 +18,8 @@
     """
 
     def get_key(self, job: Job, *, now: float) -> tuple[float, ...]:
-        """Return the job's standing, its latest start, and its priority."""
-        return (_get_standing(job, now), job.latest_start, job.request.queue.priority)
+        """Return the job's standing, the time to its latest start, and its priority."""
+        return (_get_standing(job, now), job.latest_start - now, job.request.queue.priority)
 
 
 class PriorityOrder(BaseOrder):
@@ -26,12 +29,12 @@
     """
 
     def get_key(self, job: Job, *, now: float) -> tuple[float, ...]:
-        """Return the job's standing, its priority, and its latest start."""
-        return (_get_standing(job, now), job.request.queue.priority, job.latest_start)
+        """Return the job's standing, its priority, and the time to its latest start."""
+        return (_get_standing(job, now), job.request.queue.priority, job.latest_start - now)
 
 
 def _get_standing(job: Job, now: float) -> float:
-    """Return 0 for a job that has begun, 1 for one that can be on time, 2 for one that can't."""
+    """Return where a job stands: it has begun, can be on time, or can't."""
     if job.has_begun:
-        return 0.0
-    return 1.0 if now <= job.latest_start else 2.0
+        return BEGUN
+    return ON_TIME if now <= job.latest_start else LATE
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -18,6 +18,7 @@
     JobState,
     StartTask,
     StopTask,
+    Want,
 )
 from dalemast.core.scheduling.base import BaseOrder, BasePlacement
 from dalemast.core.scheduling.choices import WorkerChoice
@@ -32,6 +33,7 @@
     judge_pace,
 )
 from dalemast.core.scheduling.refusals import Refusals
+from dalemast.core.scheduling.wants import RoomWants
 from dalemast.core.scheduling.workers import RoomReport, SlowRun, WorkerView
 from dalemast.core.workloads import JobRequest, TaskKey
 
@@ -65,6 +67,7 @@
         self._workers: dict[str, WorkerView] = {}
         self._placement = placement
         self._choice = WorkerChoice(placement=placement, workers=self._workers)
+        self._wants = RoomWants(order=order)
         self._seen = SeenWorkers(started_at=started_at)
         self._refusals = Refusals(
             jobs=self._jobs, workers=self._workers, choice=self._choice, started_at=started_at
@@ -80,6 +83,11 @@
         """The jobs that have not ended, by id."""
         return self._jobs
 
+    def get_want(self, worker: str) -> Want | None:
+        """Return what this owner lacks room for on workers like this one."""
+        view = self._workers.get(worker)
+        return None if view is None else self._wants.get(view.service)
+
     def expect_s(self, request: JobRequest) -> float:
         """Return the time in which a job that begins at once is done, with a margin, in seconds."""
         return (1.0 + START_MARGIN) * self._expect_chain(request)
@@ -114,13 +122,15 @@
         if report.pace >= SLOW_PACE:
             # All owners' runs tell of it, so an owner need not lose tasks there to learn it.
             view.learn_slowness(report.pace, now=now, weight=PACE_WEIGHT)
-        if not view.is_accepting or view.free.cpu < self._least_waiting_cpu:
-            return []
-        return self.dispatch(now=now)
+        actions: list[Action] = []
+        if view.is_accepting and view.free.cpu >= self._least_waiting_cpu:
+            actions = self.dispatch(now=now)
+        return [*actions, *self._wants.answer_offer(view, actions)]
 
     def lose_worker(self, name: str, *, now: float) -> list[Action]:
         """Note that a worker's agent is out of reach; its runs may go on for a while."""
         self._workers.pop(name, None)
+        self._wants.forget(name)
         for _, task in self._get_runs_on(name):
             task.phase = TaskPhase.LOST
             task.free_at = now + self._limits.lost_run_s
@@ -213,6 +223,7 @@
         waiting = [job for job in self._jobs.values() if job.waiting]
         self._least_waiting_cpu = 0
         if not waiting:
+            self._wants.clear()
             return []
         choices = self._choice.begin(now=now)
         waiting.sort(key=lambda job: self._order.get_key(job, now=now))
@@ -229,7 +240,13 @@
                     choices.note_start(service)
         left = (task.step.resources.cpu for job in waiting for task in job.waiting)
         self._least_waiting_cpu = min(left, default=0)
-        return actions
+        started = {action.worker for action in actions if isinstance(action, StartTask)}
+        firsts: dict[str, Job] = {}
+        for job in waiting:
+            if job.waiting:
+                firsts.setdefault(job.request.queue.service, job)
+        asked = self._wants.update(firsts, choices.get_accepting, started=started, now=now)
+        return [*actions, *asked]
 
     def _start(self, job: Job, task: Task, view: WorkerView, now: float) -> StartTask:
         queue = job.request.queue
--- a/dalemast/core/supervision/__init__.py
+++ b/dalemast/core/supervision/__init__.py
@@ -8,7 +8,7 @@
     ReportRoom,
     ReportSlow,
 )
-from dalemast.core.supervision.audience import RoomAudience, get_room_pause
+from dalemast.core.supervision.audience import RoomAudience, find_neediest, get_room_pause
 from dalemast.core.supervision.base import (
     EndedRun,
     ListedRun,
@@ -37,5 +37,6 @@
     "SupervisorLimits",
     "WorkerHealth",
     "WorkerLife",
+    "find_neediest",
     "get_room_pause",
 ]
--- a/dalemast/core/supervision/audience.py
+++ b/dalemast/core/supervision/audience.py
@@ -1,14 +1,18 @@
 """When an owner hears how much room a worker has.
 
 A report costs both sides as much as the start of a task, and at 70 workers and 12 owners reports
-were nine tenths of all messages. An owner whose own run has ended hears at once, in the frame that
-tells of the end: it may use the room again before the others hear of it, so owners seldom race for
-the same room.
+were nine tenths of all messages. When a run ends, one owner hears of the room at once and may use
+it before the others hear of it, so owners seldom race for the same room: the one that has said that
+it wants room for the most urgent work, else the one whose run has ended.
 """
 
 from __future__ import annotations
 
-__all__ = ["RoomAudience", "get_room_pause"]
+from collections.abc import Iterable
+
+from dalemast.core.scheduling.actions import Want
+
+__all__ = ["RoomAudience", "find_neediest", "get_room_pause"]
 
 NEAR_ROOM_PAUSE_S = 0.0125
 """Shortest pause between two reports to an owner in the same data centre on what others changed,
@@ -25,6 +29,16 @@
     return owners * (NEAR_ROOM_PAUSE_S if is_near else FAR_ROOM_PAUSE_S)
 
 
+def find_neediest(audiences: Iterable[RoomAudience], *, free_cpu: int) -> RoomAudience | None:
+    """Return the owner whose work goes first and fits into the room, or None if none wants any."""
+    asking = [
+        (audience.want.rank, number, audience)
+        for number, audience in enumerate(audiences)
+        if audience.want is not None and audience.want.cpu <= free_cpu
+    ]
+    return min(asking)[2] if asking else None
+
+
 class RoomAudience:
     """One owner that hears of one worker's room. Times are the agent's steady clock, in seconds."""
 
@@ -32,6 +46,8 @@
         self._is_due = False
         self._is_urgent = False
         self._told_at = float("-inf")
+        self.want: Want | None = None
+        """What the owner lacks room for, by its last word."""
 
     @property
     def is_due(self) -> bool:
--- a/dalemast/emulator/simulation.py
+++ b/dalemast/emulator/simulation.py
@@ -13,6 +13,7 @@
 
 from dalemast.core.scheduling import Action as OwnerAction
 from dalemast.core.scheduling import (
+    AskRoom,
     EndReason,
     FastestPlacement,
     JobFinished,
@@ -21,6 +22,7 @@
     Scheduler,
     SchedulerLimits,
     StartTask,
+    Want,
     WorkerView,
 )
 from dalemast.core.scheduling.base import BaseOrder
@@ -37,6 +39,7 @@
     Supervisor,
     SupervisorLimits,
     WorkerLife,
+    find_neediest,
     get_room_pause,
 )
 from dalemast.core.workloads import Resources
@@ -71,6 +74,8 @@
     ) -> None:
         self.reports = 0
         """Room reports that agents sent."""
+        self.questions = 0
+        """Messages of owners that told agents what they lack room for."""
         self.data_centres = data_centres
         self._rng = random.Random(seed)
         self._arrivals = {arrival.request.id: arrival for arrival in arrivals}
@@ -139,10 +144,19 @@
             match action:
                 case StartTask():
                     agent = self._agents[int(action.worker)]
+                    want = self._owners[owner].get_want(action.worker)
                     self.at(
                         self._now + MESSAGE_S,
-                        lambda agent=agent, start=action: agent.take(owner, start),
+                        lambda agent=agent, start=action, want=want: agent.take(owner, start, want),
                     )
+                case AskRoom():
+                    self.questions += len(action.workers)
+                    for name in action.workers:
+                        agent = self._agents[int(name)]
+                        self.at(
+                            self._now + MESSAGE_S,
+                            lambda agent=agent, want=action.want: agent.take_want(owner, want),
+                        )
                 case JobFinished():
                     self._ends[action.job.id] = JobEnd(state=action.state, at=self._now)
                 case JobRefused():
@@ -163,6 +177,7 @@
         near = sum(self._is_near(owner) for owner in range(owners))
         self._near_pause_s = get_room_pause(is_near=True, owners=near)
         self._far_pause_s = get_room_pause(is_near=False, owners=owners - near)
+        self._ended_for: int | None = None
         self._is_report_planned = False
         self._ends = itertools.count(1)
         self._supervisor = Supervisor(limits=SupervisorLimits(owner_patience_s=1e9, stop_s=0.05))
@@ -194,8 +209,15 @@
             audience.hasten()
         self._tell_room()
 
-    def take(self, owner: int, start: StartTask) -> None:
-        """Take a start."""
+    def take_want(self, owner: int, want: Want | None) -> None:
+        """Take in what an owner lacks room for."""
+        self._audiences[owner].want = want
+        self._offer_room()
+        self._tell_due()
+
+    def take(self, owner: int, start: StartTask, want: Want | None) -> None:
+        """Take a start, and what its owner still lacks room for."""
+        self._audiences[owner].want = want
         self._seen[owner] = max(self._seen[owner], start.number)
         request = StartRequest(
             owner=str(owner),
@@ -240,7 +262,7 @@
 
     def _tell_end(self, report: ReportEnd) -> None:
         run_id = report.run_id
-        self._audiences[int(report.owner)].hasten()
+        self._ended_for = int(report.owner)
         self._simulation.tell_owner(
             int(report.owner),
             lambda scheduler: scheduler.end_run(
@@ -257,8 +279,18 @@
     def _tell_room(self) -> None:
         for audience in self._audiences:
             audience.note_change()
+        self._offer_room()
         self._tell_due()
 
+    def _offer_room(self) -> None:
+        """Let the neediest owner hear at once, or else the one whose run has ended."""
+        ended_for, self._ended_for = self._ended_for, None
+        first = find_neediest(self._audiences, free_cpu=self._supervisor.get_free().cpu)
+        if first is None and ended_for is not None:
+            first = self._audiences[ended_for]
+        if first is not None and first.is_due:
+            first.hasten()
+
     def _tell_due(self) -> None:
         """Report to the owners whose pause is over, and look again soon if some are left."""
         free = self._supervisor.get_free()
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -16,7 +16,7 @@
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.fleet.agent.dialling import OwnerDialling
 from dalemast.fleet.agent.owner_sessions import OwnerSession
-from dalemast.fleet.agent.reports import WorkerReports
+from dalemast.fleet.agent.reports import WorkerReports, to_want
 from dalemast.fleet.book import AddressBook, to_member
 from dalemast.fleet.frames import (
     AgentHello,
@@ -30,6 +30,7 @@
     RunSlow,
     Starts,
     Stop,
+    Wants,
 )
 from dalemast.fleet.timing import FleetTimes
 from dalemast.observability import log_event
@@ -120,7 +121,7 @@
             run=_make_row(report.run_id), reason=report.reason, run_s=round(report.run_s, 4)
         )
         session.link.send(news)
-        session.audience.hasten()
+        self._reports.note_end(session)
 
     def report_slow(self, report: ReportSlow) -> None:
         """Tell an owner that a run crawls."""
@@ -188,6 +189,8 @@
             case Stop():
                 row = message.run
                 self._stop(RunId(row.job, TaskKey(row.step, row.position), row.run))
+            case Wants():
+                self._reports.take_want(session, message.want, now=time.monotonic())
             case Beat() | Bye():
                 pass
 
@@ -209,6 +212,7 @@
         log_event("entry:link", entry=session.member.name, runs=len(runs))
 
     def _take_starts(self, session: OwnerSession, starts: Starts) -> None:
+        session.audience.want = to_want(starts.want)
         for row in starts.tasks:
             session.seen = max(session.seen, row.number)
             self._start(
--- a/dalemast/fleet/agent/reports.py
+++ b/dalemast/fleet/agent/reports.py
@@ -4,11 +4,17 @@
 
 from collections.abc import Mapping
 
-from dalemast.core.supervision import Supervisor, get_room_pause
+from dalemast.core.scheduling import Want
+from dalemast.core.supervision import Supervisor, find_neediest, get_room_pause
 from dalemast.fleet.agent.owner_sessions import OwnerSession
-from dalemast.fleet.frames import RoomNews, WorkerNews
+from dalemast.fleet.frames import RoomNews, WantRow, WorkerNews
 
-__all__ = ["WorkerReports"]
+__all__ = ["WorkerReports", "to_want"]
+
+
+def to_want(row: WantRow | None) -> Want | None:
+    """Return what an entry's message says that it lacks room for."""
+    return None if row is None else Want(rank=row.rank, cpu=row.cpu)
 
 
 class WorkerReports:
@@ -23,6 +29,8 @@
         self._data_centre = data_centre
         self._supervisor = supervisor
         self._sessions = sessions
+        self._ended_for: OwnerSession | None = None
+        """The entry whose run has ended since room was last offered."""
         self._was_accepting = False
         self._announced_life = ""
         """The worker's life that entries were told of, once nothing unknown runs there."""
@@ -33,13 +41,34 @@
         session.audience.hasten()
         self.send_due(now=now)
 
+    def note_end(self, session: OwnerSession) -> None:
+        """Note that a run of this entry has ended; the change of room is noted after it."""
+        self._ended_for = session
+
     def note_change(self, *, now: float) -> None:
         """Note that the room has changed, and send the reports that are due."""
         self.refresh(now=now)
         for session in self._sessions.values():
             session.audience.note_change()
+        self._offer_room()
         self.send_due(now=now)
 
+    def take_want(self, session: OwnerSession, want: WantRow | None, *, now: float) -> None:
+        """Take in what an entry lacks room for; if it wants none, the next one is offered it."""
+        session.audience.want = to_want(want)
+        self._offer_room()
+        self.send_due(now=now)
+
+    def _offer_room(self) -> None:
+        """Let one entry hear at once: the neediest, or else the one whose run has ended."""
+        ended_for, self._ended_for = self._ended_for, None
+        audiences = [session.audience for session in self._sessions.values()]
+        first = find_neediest(audiences, free_cpu=self._supervisor.get_free().cpu)
+        if first is None and ended_for is not None:
+            first = ended_for.audience
+        if first is not None and first.is_due:
+            first.hasten()
+
     def refresh(self, *, now: float) -> None:
         """Take in whether the worker's life has changed, or whether it takes starts."""
         self._announce_worker()
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -7,12 +7,14 @@
 
 from dalemast.core.scheduling import (
     Action,
+    AskRoom,
     EndReason,
     RoomReport,
     Scheduler,
     SlowRun,
     StartTask,
     StopTask,
+    Want,
     WorkerView,
 )
 from dalemast.core.workloads import Resources, TaskKey
@@ -32,6 +34,8 @@
     StartRow,
     Starts,
     Stop,
+    WantRow,
+    Wants,
     WorkerNews,
 )
 from dalemast.fleet.links import Link
@@ -126,12 +130,20 @@
             session = self._by_worker.get(worker)
             if session is not None:
                 self._mark_active(session)
-                session.link.send(_make_starts(group))
+                session.link.send(_make_starts(group, self._scheduler.get_want(worker)))
         for stop in stops:
             session = self._by_worker.get(stop.worker)
             if session is not None:
                 session.link.send(Stop(run=_make_row(stop.job_id, stop.task, stop.run)))
 
+    def ask(self, asked: AskRoom) -> None:
+        """Tell agents what this entry lacks room for."""
+        message = Wants(want=_make_want(asked.want))
+        for worker in asked.workers:
+            session = self._by_worker.get(worker)
+            if session is not None:
+                session.link.send(message)
+
     def take(self, session: AgentSession, message: AgentMessage) -> None:
         """Take in one message."""
         match message:
@@ -305,7 +317,13 @@
     return RunRow(job=job_id, step=task.step, position=task.position, run=run)
 
 
-def _make_starts(group: list[StartTask]) -> Starts:
+def _make_want(want: Want | None) -> WantRow | None:
+    if want is None:
+        return None
+    return WantRow(rank=tuple(round(part, 4) for part in want.rank), cpu=want.cpu)
+
+
+def _make_starts(group: list[StartTask], want: Want | None) -> Starts:
     rows = []
     for start in group:
         resources = start.job.steps[start.task.step].resources
@@ -321,4 +339,9 @@
                 number=start.number,
             )
         )
-    return Starts(job=group[0].job.id, payload=group[0].job.payload, tasks=tuple(rows))
+    return Starts(
+        job=group[0].job.id,
+        payload=group[0].job.payload,
+        tasks=tuple(rows),
+        want=_make_want(want),
+    )
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -10,6 +10,7 @@
 from dalemast.core.ownership import Granted, Held
 from dalemast.core.scheduling import (
     Action,
+    AskRoom,
     JobFinished,
     JobRefused,
     JobState,
@@ -69,11 +70,13 @@
         times: FleetTimes,
         metrics: Metrics,
         send: Callable[[list[StartTask], list[StopTask]], None],
+        ask: Callable[[AskRoom], None],
     ) -> None:
         self._scheduler = scheduler
         self._times = times
         self._metrics = metrics
         self._send = send
+        self._ask = ask
         self._claims: ClaimKeeper | None = None
         self._open: dict[str, OpenJob] = {}
         self._ending: dict[str, tuple[int, float]] = {}
@@ -144,6 +147,8 @@
                 self._finish(action, ended_stops.get(action.job.id, 0))
             elif isinstance(action, JobRefused):
                 self._refuse(action)
+            elif isinstance(action, AskRoom):
+                self._ask(action)
 
     def note_end(self, news: RunEnded) -> None:
         """Note that a run has ended; the last one of an ended job frees its id."""
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -73,6 +73,7 @@
             times=self._times,
             metrics=self._metrics,
             send=lambda starts, stops: self._agents.send(starts, stops),
+            ask=lambda asked: self._agents.ask(asked),
         )
         self._agents = AgentLinks(
             member=self._member,
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -37,6 +37,8 @@
     "StartRow",
     "Starts",
     "Stop",
+    "WantRow",
+    "Wants",
     "WorkerNews",
     "Yield",
     "decode_frame",
@@ -100,12 +102,27 @@
     number: int
 
 
+class WantRow(Message, frozen=True):
+    """What an owner lacks room for, as in :class:`dalemast.core.scheduling.Want`."""
+
+    rank: tuple[float, ...]
+    cpu: int
+
+
+class Wants(Message, frozen=True, tag="w"):
+    """What an owner lacks room for, or that it lacks none."""
+
+    want: WantRow | None
+
+
 class Starts(Message, frozen=True, tag="s"):
     """Tasks of one job to start, with the caller's text once."""
 
     job: str
     payload: str
     tasks: tuple[StartRow, ...]
+    want: WantRow | None = None
+    """What the owner still lacks room for."""
 
 
 class Stop(Message, frozen=True, tag="x"):
@@ -209,7 +226,7 @@
     job: str
 
 
-EntryMessage = EntryHello | MemberNews | Starts | Stop | Beat | Bye
+EntryMessage = EntryHello | MemberNews | Starts | Stop | Wants | Beat | Bye
 """What an agent hears."""
 AgentMessage = AgentHello | WorkerNews | RoomNews | RunEnded | RunSlow | Beat | Bye
 """What an entry hears from an agent."""
--- a/tests/core/supervision/test_audience.py
+++ b/tests/core/supervision/test_audience.py
@@ -4,7 +4,8 @@
 
 from testtools import TestCase
 
-from dalemast.core.supervision import RoomAudience, get_room_pause
+from dalemast.core.scheduling import Want
+from dalemast.core.supervision import RoomAudience, find_neediest, get_room_pause
 
 PAUSE_S = 0.5
 
@@ -48,3 +49,20 @@
         many = get_room_pause(is_near=True, owners=4)
         self.assertEqual(4 * few, many)
         self.assertLess(few, get_room_pause(is_near=False, owners=1))
+
+
+class NeediestTests(TestCase):
+    def make(self, *rank: float, cpu: int = 1000) -> RoomAudience:
+        audience = RoomAudience()
+        audience.want = Want(rank=rank, cpu=cpu)
+        return audience
+
+    def test_the_most_urgent_want_that_fits_is_offered_the_room(self) -> None:
+        plain, urgent, large = self.make(1, 2), self.make(1, 1), self.make(0, 0, cpu=4000)
+        audiences = [plain, RoomAudience(), urgent, large]
+        self.assertIs(urgent, find_neediest(audiences, free_cpu=3000))
+        self.assertIs(large, find_neediest(audiences, free_cpu=4000))
+
+    def test_nobody_is_offered_room_that_nobody_wants(self) -> None:
+        self.assertIsNone(find_neediest([RoomAudience()], free_cpu=4000))
+        self.assertIsNone(find_neediest([self.make(0)], free_cpu=500))
