Report room less often to owners that lack none

Cause: with 12 entries and 67 workers most messages are room reports, to owners that have nothing waiting.

Change: the pause between reports on what others changed is four times as long for an owner that has not said that it wants room. Its own runs' ends, its first report and changes of trust are told at once as before.

--- a/dalemast/core/supervision/audience.py
+++ b/dalemast/core/supervision/audience.py
@@ -24,9 +24,19 @@
 here only what its own data centre has no room for."""
 
 
-def get_room_pause(*, is_near: bool, owners: int) -> float:
-    """Return the pause between reports to one of so many owners that are as near, in seconds."""
-    return owners * (NEAR_ROOM_PAUSE_S if is_near else FAR_ROOM_PAUSE_S)
+CONTENT_FACTOR = 4
+"""How many times longer the pause is for an owner that lacks no room. By simulation of four owners
+and eleven workers at 0.7, 0.82 and 0.98 of their capacity, factors of 1, 4 and 16 earned the same
+within 0.01; of twelve owners and 67 workers at 0.67, 4 took 43 % off the reports."""
+
+
+def get_room_pause(*, is_near: bool, owners: int, is_content: bool = False) -> float:
+    """Return the pause between reports to one of so many owners that are as near, in seconds.
+
+    ``is_content`` tells that the owner lacks no room.
+    """
+    pause_s = owners * (NEAR_ROOM_PAUSE_S if is_near else FAR_ROOM_PAUSE_S)
+    return CONTENT_FACTOR * pause_s if is_content else pause_s
 
 
 def find_neediest(audiences: Iterable[RoomAudience], *, free_cpu: int) -> RoomAudience | None:
@@ -54,6 +64,11 @@
         """Whether a report waits for its pause to be over."""
         return self._is_due
 
+    @property
+    def is_content(self) -> bool:
+        """Whether the owner lacks no room, by its last word."""
+        return self.want is None
+
     def note_change(self) -> None:
         """Note that the room has changed; the owner hears of it when its pause is over."""
         self._is_due = True
--- a/dalemast/emulator/simulation.py
+++ b/dalemast/emulator/simulation.py
@@ -174,9 +174,7 @@
         self._owners = owners
         self._seen = [0] * owners
         self._audiences = [RoomAudience() for _ in range(owners)]
-        near = sum(self._is_near(owner) for owner in range(owners))
-        self._near_pause_s = get_room_pause(is_near=True, owners=near)
-        self._far_pause_s = get_room_pause(is_near=False, owners=owners - near)
+        self._near_owners = sum(self._is_near(owner) for owner in range(owners))
         self._ended_for: int | None = None
         self._is_report_planned = False
         self._ends = itertools.count(1)
@@ -296,7 +294,12 @@
         free = self._supervisor.get_free()
         now = self._simulation.now
         for owner, audience in enumerate(self._audiences):
-            pause_s = self._near_pause_s if self._is_near(owner) else self._far_pause_s
+            is_near = self._is_near(owner)
+            pause_s = get_room_pause(
+                is_near=is_near,
+                owners=self._near_owners if is_near else self._owners - self._near_owners,
+                is_content=audience.is_content,
+            )
             if not audience.take_due(now=now, pause_s=pause_s):
                 continue
             self._simulation.reports += 1
--- a/dalemast/fleet/agent/reports.py
+++ b/dalemast/fleet/agent/reports.py
@@ -77,10 +77,13 @@
     def send_due(self, *, now: float) -> None:
         """Send the room reports that are due."""
         near = sum(self._is_near(session) for session in self._sessions.values())
-        near_pause_s = get_room_pause(is_near=True, owners=near)
-        far_pause_s = get_room_pause(is_near=False, owners=len(self._sessions) - near)
         for session in self._sessions.values():
-            pause_s = near_pause_s if self._is_near(session) else far_pause_s
+            is_near = self._is_near(session)
+            pause_s = get_room_pause(
+                is_near=is_near,
+                owners=near if is_near else len(self._sessions) - near,
+                is_content=session.audience.is_content,
+            )
             if session.audience.take_due(now=now, pause_s=pause_s):
                 self._send_room(session, now)
 
