Say where jobs were lost, from the logs alone

Change: dalemast losses FILE --by queue|data-centre|second counts refused, late, failed and given-up jobs by cause from the structured lines of entries. job:ended tells the objective, job:refused the age of the oldest word on a worker's room, process:started the data centre; the plots share its reader.

--- a/dalemast/bench/plots/days.py
+++ b/dalemast/bench/plots/days.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import statistics
 from collections import defaultdict
 from collections.abc import Iterable
@@ -12,6 +11,7 @@
 from matplotlib.figure import Figure
 
 from dalemast.bench.plots.base import HEIGHT_IN, WIDTH_IN, save
+from dalemast.observability.lines import read_lines
 
 __all__ = ["DaySecond", "draw_day", "read_day"]
 
@@ -34,10 +34,7 @@
     """Sum up log lines by second, counted from the first; text before a line's JSON is skipped."""
     tallies: dict[int, _Tally] = defaultdict(_Tally)
     first: int | None = None
-    for line in lines:
-        row = _read_line(line)
-        if row is None:
-            continue
+    for row in read_lines(lines):
         second = int(float(str(row["timestamp"])))
         first = second if first is None else min(first, second)
         match row.get("message_type"):
@@ -89,18 +86,6 @@
         )
 
 
-def _read_line(line: str) -> dict[str, object] | None:
-    start = line.find("{")
-    if start < 0:
-        return None
-    try:
-        row = json.loads(line[start:])
-    except ValueError:
-        # Logs of several processes may be cut anywhere; what does not parse is no line of ours.
-        return None
-    return row if isinstance(row, dict) and "timestamp" in row else None
-
-
 def _get_quantile(values: list[float]) -> float:
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(HIGH_QUANTILE * len(ordered)))]
--- a/dalemast/core/scheduling/actions.py
+++ b/dalemast/core/scheduling/actions.py
@@ -101,14 +101,16 @@
 class JobFinished:
     """A job has ended.
 
-    ``waited_s`` is the time until its first task was started; ``refused_starts`` counts starts that
-    agents did not take, mostly since another owner was quicker to use the room.
+    ``waited_s`` is the time until its first task was started, ``objective_s`` that within which its
+    answer is on time; ``refused_starts`` counts starts that agents did not take, mostly since
+    another owner was quicker to use the room.
     """
 
     job: JobRequest
     state: JobState
     cause: str
     waited_s: float
+    objective_s: float
     runs: int
     refused_starts: int
     workers: tuple[str, ...]
@@ -120,7 +122,7 @@
 
     ``workers`` of its service were in reach. ``needed_cpu`` is what its largest waiting task takes
     and ``free_cpu`` the most that was free on one accepting worker, or -1 without any; both count
-    thousandths of a core.
+    thousandths of a core. ``view_age_s`` is the age of the oldest word on one of the workers.
     """
 
     job: JobRequest
@@ -131,6 +133,7 @@
     workers: int
     needed_cpu: int
     free_cpu: int
+    view_age_s: float
 
 
 Action = StartTask | StopTask | JobFinished | JobRefused | AskRoom
--- a/dalemast/core/scheduling/refusals.py
+++ b/dalemast/core/scheduling/refusals.py
@@ -81,15 +81,17 @@
         now: float,
     ) -> JobRefused:
         service = job.request.queue.service
+        views = [view for view in self._workers.values() if view.service == service]
         return JobRefused(
             job=job.request,
             cause=RefusalCause.OVERLOAD if service in most_free else RefusalCause.NO_WORKERS,
             retry_after_s=retry_after_s,
             waited_s=now - job.arrived_at,
             waiting_jobs=waiting_jobs,
-            workers=sum(view.service == service for view in self._workers.values()),
+            workers=len(views),
             needed_cpu=max((task.step.resources.cpu for task in job.waiting), default=0),
             free_cpu=most_free.get(service, -1),
+            view_age_s=max((view.get_age_s(now) for view in views), default=0.0),
         )
 
     def _get_retry_after_s(self) -> float:
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -118,7 +118,7 @@
         view = self._workers.get(name)
         if view is None:
             return []
-        view.update(report)
+        view.update(report, now=now)
         if report.pace >= SLOW_PACE:
             # All owners' runs tell of it, so an owner need not lose tasks there to learn it.
             view.learn_slowness(report.pace, now=now, weight=PACE_WEIGHT)
@@ -322,6 +322,7 @@
             state=state,
             cause=cause,
             waited_s=(now if first is None else first) - job.arrived_at,
+            objective_s=job.objective_s,
             runs=job.runs,
             refused_starts=job.refused_starts,
             workers=tuple(job.workers),
--- a/dalemast/core/scheduling/workers.py
+++ b/dalemast/core/scheduling/workers.py
@@ -68,6 +68,7 @@
         self._is_near = is_near
         self._free = capacity
         self._is_accepting = False
+        self._reported_at: float | None = None
         self._sent: dict[int, Resources] = {}
         self._numbers = 0
         self._slowness = 1.0
@@ -122,8 +123,13 @@
         self._free -= resources
         return self._numbers
 
-    def update(self, report: RoomReport) -> None:
+    def get_age_s(self, now: float) -> float:
+        """Return how old the last report is; 0 before the first."""
+        return 0.0 if self._reported_at is None else now - self._reported_at
+
+    def update(self, report: RoomReport, *, now: float) -> None:
         """Take in a report."""
+        self._reported_at = now
         self._is_accepting = report.is_accepting
         for number in [number for number in self._sent if number <= report.seen]:
             del self._sent[number]
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -234,6 +234,7 @@
             took_s=round(took_s, 3),
             claim_s=round(job.submitted_at - job.arrived_at, 3),
             waited_s=round(action.waited_s, 3),
+            objective_s=round(action.objective_s, 3),
             runs=action.runs,
             refused_starts=action.refused_starts,
             tasks=sum(step.count for step in action.job.steps),
@@ -256,6 +257,7 @@
             workers=action.workers,
             needed_cpu=action.needed_cpu,
             free_cpu=action.free_cpu,
+            view_age_s=round(action.view_age_s, 3),
             retry_after_s=round(action.retry_after_s, 3),
         )
         if job is not None:
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -155,7 +155,10 @@
             self._store.watch_configuration(self._take_configuration),
         )
         log_event(
-            "process:started", incarnation=self._member.incarnation, seeds=self._settings.seeds
+            "process:started",
+            incarnation=self._member.incarnation,
+            data_centre=self._member.data_centre,
+            seeds=self._settings.seeds,
         )
 
     async def drain(self) -> None:
--- a/dalemast/management/base.py
+++ b/dalemast/management/base.py
@@ -18,6 +18,7 @@
 from dalemast.management.commands.entry import EntryCommand
 from dalemast.management.commands.fleet import FleetAgentCommand, FleetEntryCommand
 from dalemast.management.commands.local import LocalCommand
+from dalemast.management.commands.losses import LossesCommand
 from dalemast.management.commands.platform import PlatformCommand
 from dalemast.management.commands.reference import ReferenceCommand
 from dalemast.management.commands.samples import SamplesCommand
@@ -39,6 +40,7 @@
         | LocalCommand
         | CtlCommand
         | CheckCommand
+        | LossesCommand
         | DemoCommand
         | PlatformCommand
         | SamplesCommand
--- a/tests/core/scheduling/test_choices.py
+++ b/tests/core/scheduling/test_choices.py
@@ -18,7 +18,7 @@
     view = WorkerView(
         name=name, service="floor", capacity=capacity, labels=frozenset(), is_near=True
     )
-    view.update(RoomReport(seen=0, free=capacity, is_accepting=True))
+    view.update(RoomReport(seen=0, free=capacity, is_accepting=True), now=0.0)
     view.learn_slowness(slowness, now=NOW, weight=1.0)
     return view
 
--- a/tests/core/scheduling/test_room.py
+++ b/tests/core/scheduling/test_room.py
@@ -18,9 +18,9 @@
         self.scheduler.submit(make_job("a", make_step(2)), now=10.0)
         view = self.scheduler.workers["w1"]
         self.assertEqual(2000, view.free.cpu)
-        view.update(make_report(3000, seen=1))
+        view.update(make_report(3000, seen=1), now=10.0)
         self.assertEqual(2000, view.free.cpu)
-        view.update(make_report(2000, seen=2))
+        view.update(make_report(2000, seen=2), now=10.0)
         self.assertEqual(2000, view.free.cpu)
 
     def test_a_report_of_too_little_room_starts_nothing_and_of_enough_does(self) -> None:
