--- a/dalemast/core/supervision/audience.py
+++ b/dalemast/core/supervision/audience.py
@@ -25,9 +25,9 @@
 
 
 CONTENT_FACTOR = 4
-"""How many times longer the pause is for an owner that lacks no room: it hears of its own runs' ends
-anyway. By simulation of twelve owners and 67 workers at 0.67 of their capacity it took 43 % off the
-reports, and no worth."""
+"""How many times longer the pause is for an owner that lacks no room: it hears of its own runs'
+ends anyway. By simulation of twelve owners and 67 workers at 0.67 of their capacity it took 43 %
+off the reports, and no worth."""
 
 
 def get_room_pause(*, is_near: bool, owners: int, is_content: bool = False) -> float:
