Let the soak's proxy end its connections before its loop does

Cause: connections that were silenced for good stay open, and were cancelled by the end of the loop, which printed a traceback each.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -40,6 +40,7 @@
     def __init__(self, *, target: str) -> None:
         self._target = target
         self._tasks: set[asyncio.Task[None]] = set()
+        self._serving: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._open = {"up": asyncio.Event(), "down": asyncio.Event()}
         self.delay_s = 0.0
@@ -63,6 +64,7 @@
         self._ticker.cancel()
         for task in list(self._tasks):
             task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
 
     def silence(self, *ways: str) -> None:
         """Hold up what goes up, down, or both."""
@@ -99,6 +101,10 @@
         return now - self._ticked_at > LATE_S or now < self._doubted_until
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        serving = asyncio.current_task()
+        assert serving is not None
+        self._serving.add(serving)
+        serving.add_done_callback(self._serving.discard)
         host, _, port = self._target.rpartition(":")
         try:
             onward = await asyncio.open_connection(host, int(port))
