Give no link up as silent for runs that have ended or were given up

A task that had ended kept its worker's name, so the worker counted as busy until its whole job was done; its agent had no run to beat for.

Change: an entry counts a worker as busy for runs that may be going; an agent that judges a silent owner leaves out runs that are being stopped, whose owner may have nothing left to beat for. Ruled out: beats from agents on all links, which cost most of a core at 70 workers and 12 entries. Test: test_a_worker_whose_task_has_ended_is_busy_no_more, on the code before {w1, w2} stayed busy.

--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -83,6 +83,19 @@
         """The jobs that have not ended, by id."""
         return self._jobs
 
+    def get_busy_workers(self) -> set[str]:
+        """Return the workers on which a run of this owner may be going.
+
+        Not those where tasks of open jobs have ended: their agents have no run to beat for, and
+        would be given up as silent.
+        """
+        return {
+            task.worker
+            for job in self._jobs.values()
+            for task in job.tasks.values()
+            if task.phase in ON_WORKER
+        }
+
     def get_want(self, worker: str) -> Want | None:
         """Return what this owner lacks room for on workers like this one."""
         view = self._workers.get(worker)
--- a/dalemast/core/supervision/__init__.py
+++ b/dalemast/core/supervision/__init__.py
@@ -18,6 +18,7 @@
     WorkerLife,
 )
 from dalemast.core.supervision.health import WorkerHealth
+from dalemast.core.supervision.runs import RunPhase
 from dalemast.core.supervision.supervisor import Supervisor, SupervisorLimits
 
 __all__ = [
@@ -31,6 +32,7 @@
     "ReportSlow",
     "RoomAudience",
     "RunId",
+    "RunPhase",
     "StartOutcome",
     "StartRequest",
     "Supervisor",
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -10,6 +10,7 @@
     ReportEnd,
     ReportSlow,
     RunId,
+    RunPhase,
     StartRequest,
     Supervisor,
 )
@@ -154,7 +155,10 @@
     def tick(self, now: float) -> None:
         """Send beats and what room reports are due; give up silent links."""
         self._reports.refresh(now=now)
-        busy = {run.request.owner for run in self._supervisor.runs.values()}
+        runs = self._supervisor.runs.values()
+        busy = {run.request.owner for run in runs}
+        # An owner that has given a run up may have nothing left to beat for.
+        followed = {run.request.owner for run in runs if run.phase is not RunPhase.STOPPING}
         self._review_links(busy, now)
         self._reports.send_due(now=now)
         for session in list(self._sessions.values()):
@@ -164,7 +168,8 @@
                 session.link.send(Beat())
             # A link that carries runs may be dead one by one, with the owner alive: its runs are
             # stopped anyway after this time, and only a new link gives it the worker back.
-            limit_s = self._times.silence_s if is_busy else self._times.idle_silence_s
+            is_followed = session.owner in followed
+            limit_s = self._times.silence_s if is_followed else self._times.idle_silence_s
             if now - session.link.heard_at > limit_s:
                 session.link.reset()
                 self.end_session(session)
--- a/dalemast/fleet/agent/process.py
+++ b/dalemast/fleet/agent/process.py
@@ -114,8 +114,9 @@
     def _tick(self) -> None:
         self._check_pause()
         now = time.monotonic()
-        self._worker.tick(now)
+        # Links first: a silent owner's runs are stopped in the same turn, and count no more then.
         self._owners.tick(now)
+        self._worker.tick(now)
 
     async def _find_entries(self) -> None:
         """Read the store for entries while none is in reach."""
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -179,12 +179,7 @@
 
     def tick(self, now: float) -> None:
         """Send beats and give up silent links."""
-        busy = {
-            task.worker
-            for job in self._scheduler.open_jobs.values()
-            for task in job.tasks.values()
-            if task.worker
-        }
+        busy = self._scheduler.get_busy_workers()
         for session in list(self._sessions.values()):
             is_busy = session.worker in busy
             if is_busy:
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -359,3 +359,15 @@
                 "w1", "a", start.task, start.run, EndReason.DONE, run_s=1.0, now=11.0
             )
         self.assertLess(self.scheduler.workers["w1"].get_slowness(11.0), 1.5)
+
+
+class BusyWorkerTests(SchedulerTestCase):
+    def test_a_worker_whose_task_has_ended_is_busy_no_more(self) -> None:
+        """Its agent has nothing to beat for, while the job's other task goes on elsewhere."""
+        self.add_worker("w1", cpu=1000)
+        self.add_worker("w2", cpu=1000)
+        self.scheduler.submit(make_job("a", make_step(2)), now=10.0)
+        self.assertEqual({"w1", "w2"}, self.scheduler.get_busy_workers())
+        task = next(t for t in self.scheduler.open_jobs["a"].tasks.values() if t.worker == "w1")
+        self.scheduler.end_run("w1", "a", task.key, 1, EndReason.DONE, run_s=0.1, now=10.1)
+        self.assertEqual({"w2"}, self.scheduler.get_busy_workers())
