Reset a link whose greeting came while the agent stood still

An agent that notices at a message that it stood still passes it over and resets its links, but a link that is not greeted yet is in no list. When the greeting was that message, the link stayed open without one for good, and the entry never saw the worker. A worker is lost to an entry so until one of the two processes restarts. Change: the link that the message came on is reset as well. Ruled out: time alone, since wait_until counts the time in which the loop ran; an error that ends the dialler's task, for which nothing was seen. Test first: StarvedAtGreetingTests waited in vain for 20 s before, passes now.

--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -99,7 +99,10 @@
 
     def receive(self, session: OwnerSession, messages: list[EntryMessage]) -> None:
         """Take in a frame, unless this process stood still while it waited in the socket."""
-        if self._check_pause() or not session.link.is_open:
+        if self._check_pause():
+            # A link without its greeting is in no list yet, and would stay open without one.
+            session.link.reset()
+        if not session.link.is_open:
             return
         if session.member is not None:
             self._supervisor.hear(session.owner, now=time.monotonic())
--- a/tests/fleet/test_silent.py
+++ b/tests/fleet/test_silent.py
@@ -122,3 +122,19 @@
             )
 
         self.play(scenario, entries=2, workers=1)
+
+
+class StarvedAtGreetingTests(AsyncTestCase):
+    def test_a_greeting_that_waited_while_the_agent_stood_still_is_not_lost(self) -> None:
+        """What waited is passed over; the link must not stay open without its greeting."""
+
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                owners = fleet.agents[0]._owners
+                pauses = [True]
+                owners._check_pause = lambda: bool(pauses) and pauses.pop()
+                owners.reset_all()
+                await wait_until(lambda: not pauses, "a greeting")
+                await wait_until(lambda: len(owners) == 1, "the agent to be linked again")
+
+        self.run_async(run())
