Tell entries the version of a configuration, and give it whole to those that ask

Cause: each entry sent a new configuration whole to every other one.

Change: peers tell the version and its size. Who lacks it after a head start of 0.4 s for the store asks one peer, then another; a peer sends two copies at a time, so holders double with each round. One encoding a version.

Ruled out: a copy to a few peers unasked, since most of them have it.

--- a/dalemast/fleet/entry/peer_sessions.py
+++ b/dalemast/fleet/entry/peer_sessions.py
@@ -33,6 +33,11 @@
         self.is_ending = False
         self._links = links
 
+    @property
+    def name(self) -> str:
+        """The other entry's name, or an empty text before its greeting."""
+        return self.member.name if self.member else ""
+
     def receive(self, messages: list[PeerMessage]) -> None:
         """Take in a frame."""
         for message in messages:
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -8,21 +8,25 @@
 import time
 from collections.abc import Callable, Iterable
 
-from dalemast.fleet.base import Configuration, Member
+from dalemast.fleet.base import Member
 from dalemast.fleet.book import AddressBook, to_member, to_row
 from dalemast.fleet.entry.claims import JobClaims, OwnJobs
 from dalemast.fleet.entry.configuration import ConfigurationInForce
+from dalemast.fleet.entry.news import ConfigurationExchange
 from dalemast.fleet.entry.peer_sessions import PeerSession
 from dalemast.fleet.frames import (
     Beat,
     Bye,
     Claim,
     ClaimAnswer,
+    ConfigurationAsk,
+    ConfigurationLater,
     ConfigurationNews,
     MemberNews,
     PeerHello,
     PeerMessage,
     Release,
+    VersionNews,
     Yield,
 )
 from dalemast.fleet.links import Dialer, Link
@@ -59,7 +63,6 @@
     ) -> None:
         self._member = member
         self._book = book
-        self._configuration = configuration
         self._times = times
         self._jobs = jobs
         self._tell_agents = tell_agents
@@ -67,6 +70,7 @@
         self._dialled: dict[str, PeerSession] = {}
         self._accepted: dict[str, PeerSession] = {}
         self._sessions: set[PeerSession] = set()
+        self._news = ConfigurationExchange(configuration=configuration, dialled=self._dialled)
         self._claims = JobClaims(
             member=member,
             jobs=jobs,
@@ -91,7 +95,7 @@
         for address in self._book.addresses:
             self._dial(address)
         self._book.on_address(self._dial)
-        self._configuration.on_change(self._tell_configuration)
+        self._news.start()
 
     def stop(self) -> None:
         """Say goodbye and end all links."""
@@ -121,10 +125,14 @@
                 self._greet(session, message)
             case MemberNews():
                 self.learn([to_member(row) for row in message.members])
+            case VersionNews():
+                self._news.take_version(session, message)
+            case ConfigurationAsk():
+                self._news.give(session, message)
+            case ConfigurationLater():
+                self._news.take_later(session)
             case ConfigurationNews():
-                offered = Configuration(version=message.version, queues=message.queues)
-                source = session.member.name if session.member else "peer"
-                self._configuration.offer(offered, source=source)
+                self._news.take_configuration(session, message)
             case Claim():
                 self._claims.answer(session, message)
             case ClaimAnswer():
@@ -148,6 +156,7 @@
         if session.is_dialled and self._dialled.get(member.name) is session:
             del self._dialled[member.name]
             log_event("peer:lost", peer=member.name, is_planned=session.is_ending)
+            self._news.forget(member.name)
             if not session.is_ending:
                 self._claims.doubt_home(member)
             self._claims.move_all()
@@ -173,6 +182,7 @@
                 log_event("peer:silent", peer=session.member.name if session.member else "")
                 self.end_session(session)
         self._claims.sweep(now)
+        self._news.tick(now)
 
     def _hears_on_accepted(self, session: PeerSession, now: float, beat_s: float) -> bool:
         """Tell whether the entry at the other end is heard on the link that it has dialled."""
@@ -231,9 +241,7 @@
                 jobs=tuple(self._jobs.get_open_ids()),
             )
         )
-        current = self._configuration.current
-        if current is not None:
-            link.send(ConfigurationNews(version=current.version, queues=current.queues))
+        self._news.greet(session)
         return session
 
     def _greet(self, session: PeerSession, hello: PeerHello) -> None:
@@ -253,11 +261,6 @@
         if before is not None and before is not session:
             self.end_session(before)
 
-    def _tell_configuration(self, configuration: Configuration) -> None:
-        news = ConfigurationNews(version=configuration.version, queues=configuration.queues)
-        for session in self._dialled.values():
-            session.link.send(news)
-
     def _has_met_all(self) -> bool:
         """Tell whether every entry that is known has said which jobs it has."""
         known = {member.name for member in self._book.members}
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -22,6 +22,9 @@
     "Bye",
     "Claim",
     "ClaimAnswer",
+    "ConfigurationAsk",
+    "ConfigurationLater",
+    "ConfigurationMessage",
     "ConfigurationNews",
     "EntryHello",
     "EntryMessage",
@@ -37,6 +40,7 @@
     "StartRow",
     "Starts",
     "Stop",
+    "VersionNews",
     "WantRow",
     "Wants",
     "WorkerNews",
@@ -192,12 +196,31 @@
 
 
 class ConfigurationNews(Message, frozen=True, tag="c"):
-    """A configuration."""
+    """A configuration, for an entry that asked for it."""
 
     version: int
     queues: tuple[Queue, ...]
 
 
+class VersionNews(Message, frozen=True, tag="v"):
+    """The version of the configuration in force at the sender, and its size as a message."""
+
+    version: int
+    size_bytes: int
+
+
+class ConfigurationAsk(Message, frozen=True, tag="a"):
+    """The sender lacks this version."""
+
+    version: int
+
+
+class ConfigurationLater(Message, frozen=True, tag="l"):
+    """The sender has this version and is giving it to others first."""
+
+    version: int
+
+
 class Claim(Message, frozen=True, tag="?"):
     """Ask for a job's id. ``number`` comes back in the answer."""
 
@@ -230,8 +253,18 @@
 """What an agent hears."""
 AgentMessage = AgentHello | WorkerNews | RoomNews | RunEnded | RunSlow | Beat | Bye
 """What an entry hears from an agent."""
+ConfigurationMessage = VersionNews | ConfigurationAsk | ConfigurationLater | ConfigurationNews
+"""What entries tell one another of configurations."""
 PeerMessage = (
-    PeerHello | MemberNews | ConfigurationNews | Claim | ClaimAnswer | Release | Yield | Beat | Bye
+    PeerHello
+    | MemberNews
+    | ConfigurationMessage
+    | Claim
+    | ClaimAnswer
+    | Release
+    | Yield
+    | Beat
+    | Bye
 )
 """What an entry hears from another."""
 
--- a/dalemast/fleet/links.py
+++ b/dalemast/fleet/links.py
@@ -29,7 +29,7 @@
 from dalemast.fleet.frames import decode_frame
 from dalemast.observability import log_error
 
-__all__ = ["Dialer", "Link", "LinkHandler"]
+__all__ = ["Dialer", "Link", "LinkHandler", "encode_message"]
 
 OPEN_TIMEOUT_S = 0.8
 """Longest time from a try to an open link. A slowed host answers within tenths of a second."""
@@ -64,6 +64,11 @@
 encoder = msgspec.json.Encoder()
 
 
+def encode_message(message: msgspec.Struct) -> bytes:
+    """Encode a message that goes to many links, which take it as :class:`msgspec.Raw`."""
+    return encoder.encode(message)
+
+
 class Link:
     """One open link. Messages sent within one turn of the loop share a frame."""
 
@@ -77,7 +82,7 @@
         self._write = write
         self._get_stream = get_stream
         self._message_type = message_type
-        self._outgoing: list[msgspec.Struct] = []
+        self._outgoing: list[msgspec.Struct | msgspec.Raw] = []
         self._is_scheduled = False
         self._is_open = True
         self.heard_at = time.monotonic()
@@ -88,7 +93,7 @@
         """Whether messages can be sent."""
         return self._is_open
 
-    def send(self, message: msgspec.Struct) -> None:
+    def send(self, message: msgspec.Struct | msgspec.Raw) -> None:
         """Send a message with the next frame; nothing happens on a closed link."""
         if not self._is_open:
             return
