Call workers by httptools, and carry frames by picows

Change: a client for one address on httptools' parser and asyncio's protocols (dalemast/http/direct.py), never sending twice; links on picows's WebSockets, dalemast/fleet/links split by end. curl is no longer loaded by the fleet.

Ruled out, with figures in docs/decisions/0010: aiohttp, aiosonic, curl's multi interface, each of which leaves 40 % or more of the gain.

--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -25,14 +25,13 @@
 from dalemast.fleet.entry.desk import JobDesk
 from dalemast.fleet.entry.peers import PeerLinks
 from dalemast.fleet.frames import AgentMessage, PeerMessage
-from dalemast.fleet.links import LinkHandler
+from dalemast.fleet.links import LinkListener, LinkRoute
 from dalemast.fleet.paths import AGENTS_PATH, PEERS_PATH
 from dalemast.fleet.pauses import PauseWatch
 from dalemast.fleet.process import TICK_S, BaseFleetProcess
-from dalemast.http.server import Listener
 from dalemast.observability import log_event
 from dalemast.process import make_incarnation
-from dalemast.settings import FleetEntrySettings, ListenerSettings
+from dalemast.settings import FleetEntrySettings
 
 __all__ = ["FleetEntryProcess"]
 
@@ -128,22 +127,14 @@
 
     async def start(self) -> None:
         """Listen, find the others, and follow the configuration."""
-        self._listener = Listener(
-            settings=ListenerSettings(address=self._settings.links.address),
-            routes=[
-                (
-                    AGENTS_PATH,
-                    LinkHandler,
-                    {"message_type": AgentMessage, "accept": self._agents.accept},
-                ),
-                (
-                    PEERS_PATH,
-                    LinkHandler,
-                    {"message_type": PeerMessage, "accept": self._peers.accept},
-                ),
-            ],
+        self._listener = LinkListener(
+            address=self._settings.links.address,
+            routes=(
+                LinkRoute(path=AGENTS_PATH, message_type=AgentMessage, accept=self._agents.accept),
+                LinkRoute(path=PEERS_PATH, message_type=PeerMessage, accept=self._peers.accept),
+            ),
         )
-        self._listener.start()
+        await self._listener.start()
         self._ingress.start()
         self._start_metrics()
         self._book.add_addresses(self._settings.seeds)
--- /dev/null
+++ b/dalemast/fleet/links/base.py
@@ -0,0 +1,186 @@
+"""One open link, at either end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+from picows import WSFrame, WSListener, WSMsgType, WSTransport
+
+from dalemast.fleet.frames import decode_frame
+from dalemast.observability import log_error
+
+__all__ = ["MAX_FRAME_BYTES", "Link", "LinkReceiver", "LinkSocket", "encode_message"]
+
+PROBE_PAUSE_S = 1
+"""Pause of the kernel's keep-alive probes. A host that lost power and is back answers the first one
+with a reset, so its peers dial again within about a second."""
+PROBES = 2
+"""Unanswered probes after which the kernel gives a connection up."""
+UNACKNOWLEDGED_MS = 1500
+"""The kernel gives a connection up when bytes stay unacknowledged for this long. Its probes watch
+idle connections alone, and its own patience with bytes under way is minutes: the link would stay
+open for as long, and no new one would be dialled. A slowed host still acknowledges in tenths."""
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+encoder = msgspec.json.Encoder()
+
+
+def encode_message(message: msgspec.Struct) -> bytes:
+    """Encode a message that goes to many links, which take it as :class:`msgspec.Raw`."""
+    return encoder.encode(message)
+
+
+class LinkReceiver(Protocol):
+    """Takes what happens on one link."""
+
+    def receive(self, messages: list[Any]) -> None:
+        """Take in a frame."""
+
+    def close(self) -> None:
+        """Note that the link has ended."""
+
+
+class Link:
+    """One open link. Messages sent within one turn of the loop share a frame."""
+
+    def __init__(self, *, transport: WSTransport, message_type: Any) -> None:
+        self._transport = transport
+        self._message_type = message_type
+        self._outgoing: list[msgspec.Struct | msgspec.Raw] = []
+        self._is_scheduled = False
+        self._is_open = True
+        self.heard_at = time.monotonic()
+        self.sent_at = self.heard_at
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return self._is_open
+
+    def send(self, message: msgspec.Struct | msgspec.Raw) -> None:
+        """Send a message with the next frame; nothing happens on a closed link."""
+        if not self._is_open:
+            return
+        self._outgoing.append(message)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Write the frame that is due."""
+        self._is_scheduled = False
+        if not self._outgoing or not self._is_open:
+            return
+        data = encoder.encode(self._outgoing)
+        self._outgoing = []
+        self.sent_at = time.monotonic()
+        self._transport.send(WSMsgType.TEXT, data)
+
+    def decode(self, data: str | bytes | memoryview) -> list[Any]:
+        """Decode what arrived and note that the peer is alive."""
+        self.heard_at = time.monotonic()
+        return decode_frame(data, self._message_type)
+
+    def forgive(self, late_s: float) -> None:
+        """Count the peer's silence as shorter, by a time in which this process did not listen."""
+        self.heard_at = min(self.heard_at + late_s, time.monotonic())
+
+    def end(self) -> None:
+        """Close once what was sent is on its way."""
+        self.flush()
+        self._is_open = False
+        self._transport.disconnect(graceful=True)
+
+    def reset(self) -> None:
+        """Close at once, so that nothing held up on the way is delivered later."""
+        self._is_open = False
+        self._outgoing = []
+        stream = self._transport.underlying_transport
+        if stream is None or stream.is_closing():
+            return
+        with contextlib.suppress(OSError):
+            # A socket that can't be set any more is closed already.
+            sock = stream.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        stream.abort()
+
+    def mark_closed(self) -> None:
+        """Note that the connection has ended."""
+        self._is_open = False
+
+
+class LinkSocket(WSListener):  # type: ignore[misc]
+    """The WebSocket under a link, from its greeting to its end.
+
+    ``make_receiver`` gets the link once it is open and returns who takes its messages.
+    """
+
+    def __init__(self, *, message_type: Any, make_receiver: Callable[[Link], LinkReceiver]) -> None:
+        super().__init__()
+        self._message_type = message_type
+        self._make_receiver = make_receiver
+        self._receiver: LinkReceiver | None = None
+        self._link: Link | None = None
+        self.ended = asyncio.get_running_loop().create_future()
+        """Done once the link has ended."""
+
+    @property
+    def link(self) -> Link | None:
+        """The link, once it is open."""
+        return self._link
+
+    def on_ws_connected(self, transport: WSTransport) -> None:
+        """Begin; called by the WebSocket."""
+        _watch(transport)
+        self._link = Link(transport=transport, message_type=self._message_type)
+        self._receiver = self._make_receiver(self._link)
+
+    def on_ws_frame(self, transport: WSTransport, frame: WSFrame) -> None:
+        """Pass a frame on; one that does not parse, or a fault in who takes it, ends the link."""
+        link, receiver = self._link, self._receiver
+        if link is None or receiver is None or not link.is_open:
+            return
+        if frame.msg_type == WSMsgType.CLOSE:
+            transport.disconnect()
+            return
+        if frame.msg_type != WSMsgType.TEXT or not frame.fin:
+            return
+        try:
+            receiver.receive(link.decode(frame.get_payload_as_memoryview()))
+        except msgspec.MsgspecError as error:
+            log_error("link:bad-frame", reason=str(error))
+            link.reset()
+        except Exception as error:
+            log_error("link:fault", reason=repr(error))
+            link.reset()
+
+    def on_ws_disconnected(self, transport: WSTransport) -> None:
+        """Tell the receiver; called by the WebSocket."""
+        if self._link is not None:
+            self._link.mark_closed()
+        if self._receiver is not None:
+            self._receiver.close()
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+
+def _watch(transport: WSTransport) -> None:
+    """Let the kernel notice that the other end is gone, which costs neither side's processor."""
+    sock = transport.underlying_transport.get_extra_info("socket")
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_PAUSE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PAUSE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    except OSError as error:
+        log_error("link:no-probes", reason=str(error))
--- /dev/null
+++ b/dalemast/fleet/links/dialer.py
@@ -0,0 +1,128 @@
+"""The dialling end of links."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+from picows import WSError, WSParsedURL, ws_connect
+
+from dalemast.fleet.links.base import MAX_FRAME_BYTES, Link, LinkReceiver, LinkSocket
+
+__all__ = ["Dialer"]
+
+
+OPEN_TIMEOUT_S = 0.8
+"""Longest time from a try to an open link. A slowed host answers within tenths of a second."""
+FIRST_CONNECT_S = 0.1
+"""How long the first try waits for a connection; each further one waits twice as long, up to
+:data:`OPEN_TIMEOUT_S`. A host that is just starting says nothing at first, and the kernel sends the
+opening packet again only after a second: a new try reaches it sooner."""
+FIRST_RETRY_S = 0.05
+LONGEST_RETRY_S = 0.25
+"""Bounds on the pause between tries. A restarted process is back within about a second."""
+DOUBTED_RETRY_S = 1.0
+"""Pause once an address has not answered for :data:`RESTART_S`."""
+RESTART_S = 5.0
+"""In this time a process that was killed or stopped is back, as a rule."""
+GIVE_UP_RETRY_S = 4.0
+"""Pause once an address has not answered for :data:`DOUBT_AFTER_S`: its host is likely gone."""
+DOUBT_AFTER_S = 20.0
+MAX_DOUBLINGS = 4
+"""Enough for both pauses to reach their bounds."""
+
+
+class Dialer:
+    """Keeps a link to one address open: connects, serves, and connects again.
+
+    ``make_receiver`` gets each new link and returns an object with ``receive`` and ``close``.
+    """
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        message_type: Any,
+        make_receiver: Callable[[Link], LinkReceiver],
+    ) -> None:
+        self._url = url
+        self._message_type = message_type
+        self._make_receiver = make_receiver
+        self._link: Link | None = None
+        self._failing_since: float | None = time.monotonic()
+        """Since when no link is open, or None while one is."""
+        self._task = asyncio.create_task(self._keep())
+
+    def is_failing(self, now: float, *, longer_than_s: float) -> bool:
+        """Tell whether no link has been open for longer than this."""
+        return self._failing_since is not None and now - self._failing_since > longer_than_s
+
+    def stop(self) -> None:
+        """End the link and connect no more."""
+        self._task.cancel()
+        if self._link is not None:
+            self._link.end()
+
+    async def _keep(self) -> None:
+        tries = 0
+        while True:
+            opened = await self._connect(min(FIRST_CONNECT_S * 2**tries, OPEN_TIMEOUT_S))
+            if opened is not None:
+                tries = 0
+                self._failing_since = None
+                self._link = opened.link
+                await opened.ended
+                self._link = None
+                self._failing_since = time.monotonic()
+            await asyncio.sleep(self._get_retry_s(tries) * (0.5 + random.random()))
+            tries = min(tries + 1, MAX_DOUBLINGS)
+
+    def _get_retry_s(self, tries: int) -> float:
+        """Return the pause after so many tries in a row that failed."""
+        now = time.monotonic()
+        if self.is_failing(now, longer_than_s=DOUBT_AFTER_S):
+            return GIVE_UP_RETRY_S
+        if self.is_failing(now, longer_than_s=RESTART_S):
+            return DOUBTED_RETRY_S
+        return min(FIRST_RETRY_S * 2**tries, LONGEST_RETRY_S)
+
+    async def _connect(self, connect_s: float) -> LinkSocket | None:
+        """Open a link; ``connect_s`` bounds the wait for its connection alone."""
+
+        async def connect(url: WSParsedURL) -> socket.socket:
+            return await _connect_socket(url.host, url.port, connect_s)
+
+        try:
+            async with asyncio.timeout(OPEN_TIMEOUT_S):
+                _, opened = await ws_connect(
+                    lambda: LinkSocket(
+                        message_type=self._message_type, make_receiver=self._make_receiver
+                    ),
+                    self._url,
+                    socket_factory=connect,
+                    max_frame_size=MAX_FRAME_BYTES,
+                    max_redirects=0,
+                )
+        except (OSError, WSError, TimeoutError):
+            # An address that does not answer is normal here: hosts go, restart and are cut off.
+            # What follows from it (a lost owner or peer) is logged where it is decided.
+            return None
+        assert isinstance(opened, LinkSocket)
+        return opened
+
+
+async def _connect_socket(host: str, port: int, connect_s: float) -> socket.socket:
+    """Return a socket that is connected; raises ``OSError`` or ``TimeoutError``."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    try:
+        async with asyncio.timeout(connect_s):
+            await asyncio.get_running_loop().sock_connect(sock, (host, port))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- a/dalemast/fleet/timing.py
+++ b/dalemast/fleet/timing.py
@@ -33,7 +33,7 @@
     """Pause between messages on a link that carries runs."""
     idle_beat_s: float = 5.0
     """Pause between messages on a link that carries none. The kernel's probes watch it meanwhile
-    (dalemast/fleet/links.py): at 70 workers and 12 entries a beat a second on each idle link took
+    (dalemast/fleet/links): at 70 workers and 12 entries a beat a second on each idle link took
     most of a core."""
     silence_s: float = 0.45
     """A link that carries runs is given up after this silence."""
--- a/dalemast/http/client.py
+++ b/dalemast/http/client.py
@@ -2,20 +2,20 @@
 
 The curl client keeps connections. It also sends a request again by itself when a kept connection
 turns out dead, which is harmless between dalemast's own processes, where every request may be
-repeated, and forbidden towards endpoints: see :mod:`dalemast.agent.endpoints`.
+repeated, and forbidden towards endpoints: see :mod:`dalemast.agent.endpoints`. The fleet's many
+short calls go through :mod:`dalemast.http.direct` instead.
 """
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
-from typing import Any
 
-import msgspec
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from dalemast.http.messages import HttpFailure, JsonResponse, encode_body
+
 __all__ = ["HttpFailure", "JsonClient", "JsonResponse"]
 
 MAX_CLIENTS = 1000
@@ -24,35 +24,6 @@
 _UNREACHABLE = {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
 
 
-class HttpFailure(Exception):
-    """No response came. ``is_unreachable`` tells that the peer cannot have seen the request."""
-
-    def __init__(self, message: str, *, is_unreachable: bool) -> None:
-        super().__init__(message)
-        self.message = message
-        self.is_unreachable = is_unreachable
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class JsonResponse:
-    """A response; ``body`` is not parsed until asked for."""
-
-    status: int
-    body: bytes
-    retry_after: str = ""
-
-    def decode(self, answer_type: Any) -> Any:
-        """Parse the body; raises :class:`msgspec.MsgspecError`."""
-        return msgspec.json.decode(self.body, type=answer_type)
-
-    def get_error_code(self) -> str:
-        """Return the code of an error body, or an empty text."""
-        try:
-            return str(msgspec.json.decode(self.body)["error"]["code"])
-        except (msgspec.MsgspecError, KeyError, TypeError):
-            return ""
-
-
 class JsonClient:
     """Requests with JSON bodies over kept connections."""
 
@@ -81,7 +52,7 @@
             url,
             method=method,
             headers={"Content-Type": "application/json", **(headers or {})},
-            body=_encode(body),
+            body=encode_body(body),
             allow_nonstandard_methods=True,
             connect_timeout=min(timeout_s, 5.0),
             request_timeout=timeout_s,
@@ -109,11 +80,3 @@
 def _connect_anew(curl: pycurl.Curl) -> None:
     """Let one request use no kept connection; handles are used again, but reset before."""
     curl.setopt(pycurl.FRESH_CONNECT, 1)
-
-
-def _encode(body: object) -> bytes | None:
-    if body is None:
-        return None
-    if isinstance(body, bytes):
-        return body
-    return msgspec.json.encode(body)
--- a/dalemast/platform/store.py
+++ b/dalemast/platform/store.py
@@ -12,7 +12,8 @@
 
 from dalemast.core.workloads import Queue
 from dalemast.fleet.base import BaseMemberStore, Configuration, Member
-from dalemast.http.client import HttpFailure, JsonClient, JsonResponse
+from dalemast.http.direct import DirectClient
+from dalemast.http.messages import HttpFailure, JsonResponse
 from dalemast.observability import log_error, log_event
 from dalemast.platform.wire import (
     ConfigurationDocument,
@@ -38,8 +39,7 @@
 """The same for the list of entries, which peers tell each other as well."""
 WAIT_SLACK_S = 0.5
 MAX_CALLS = 4
-"""Calls at a time: two feeds, an announcement and a reading. The client allocates as many handles
-at once, of some KB each."""
+"""Calls at a time: two feeds, an announcement and a reading."""
 RETRY_S = (0.2, 1.0)
 """First and longest pause after a call that failed."""
 GONE = 410
@@ -58,8 +58,7 @@
 
     def __init__(self, *, settings: object) -> None:
         address = settings.store.address  # type: ignore[attr-defined]
-        self._url = f"http://{address}"
-        self._client = JsonClient(max_clients=MAX_CALLS)
+        self._client = DirectClient(address=address, max_connections=MAX_CALLS)
         self._is_reachable = True
         self._was_unanswered = False
         """The last call got no answer: the next one takes a new connection, since each kept one
@@ -153,7 +152,7 @@
         try:
             response = await self._client.request(
                 method,
-                self._url + path,
+                path,
                 body=body,
                 timeout_s=timeout_s,
                 is_fresh=self._was_unanswered,
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -19,7 +19,8 @@
 from dalemast.core.workloads import TaskKey
 from dalemast.fleet.base import BaseWorkerDriver, Look, WorkerGone, WorkerReplaced, WorkerUnanswered
 from dalemast.fleet.timing import WORKER_CLOCK_ERROR
-from dalemast.http.client import HttpFailure, JsonClient, JsonResponse
+from dalemast.http.direct import DirectClient
+from dalemast.http.messages import HttpFailure, JsonResponse
 from dalemast.observability import log_event
 from dalemast.platform.wire import (
     EXPECTED_LIFE_HEADER,
@@ -62,10 +63,10 @@
     """One worker. Its clock is followed by what its answers say."""
 
     def __init__(self, *, settings: FleetAgentSettings, lease_s: float) -> None:
-        self._url = f"http://{settings.worker.address}"
         self._lease_s = lease_s
-        self._orders = JsonClient(max_clients=ORDER_CONNECTIONS)
-        self._looks = JsonClient(max_clients=1)
+        address = settings.worker.address
+        self._orders = DirectClient(address=address, max_connections=ORDER_CONNECTIONS)
+        self._looks = DirectClient(address=address, max_connections=1)
         # Of all tokens that this host's agents ever sent, the newest life's must be the highest:
         # the time of day rises from one life to the next, and _raise_fence mends what steps spoil.
         self._fence = int(time.time() * 1000)
@@ -141,7 +142,7 @@
         try:
             response = await self._looks.request(
                 "POST",
-                self._url + LOOK_PATH,
+                LOOK_PATH,
                 body=call,
                 headers=self._headers,
                 timeout_s=wait_s + LOOK_SLACK_S,
@@ -168,7 +169,7 @@
     ) -> JsonResponse:
         return await self._orders.request(
             "POST",
-            self._url + path,
+            path,
             body=body,
             headers=headers,
             timeout_s=timeout_s,
