Keep the free room instead of summing it up, and report it less to owners that lack none

Change: the supervisor keeps what its runs take; reports are looked for among links that have one due; a worker's slowness is worked out once a round; an owner that lacks no room hears sixteen times less often in place of four.

--- a/dalemast/core/scheduling/choices.py
+++ b/dalemast/core/scheduling/choices.py
@@ -95,10 +95,19 @@
         quick = self._quick.get(service)
         if quick is not None:
             return quick
-        pool = [view for view in self._workers.values() if view.service == service]
-        slowest = TOO_SLOW * min((view.get_slowness(self._now) for view in pool), default=1.0)
-        accepting = [view for view in pool if view.is_accepting]
-        quick = [view for view in accepting if view.get_slowness(self._now) < slowest]
+        best = float("inf")
+        accepting: list[WorkerView] = []
+        paces: list[float] = []
+        for view in self._workers.values():
+            if view.service != service:
+                continue
+            slowness = view.get_slowness(self._now)
+            best = min(best, slowness)
+            if view.is_accepting:
+                accepting.append(view)
+                paces.append(slowness)
+        slowest = TOO_SLOW * best
+        quick = [view for view, pace in zip(accepting, paces, strict=True) if pace < slowest]
         self._accepting[service] = accepting
         self._quick[service] = quick
         return quick
--- a/dalemast/core/supervision/audience.py
+++ b/dalemast/core/supervision/audience.py
@@ -24,10 +24,11 @@
 here only what its own data centre has no room for."""
 
 
-CONTENT_FACTOR = 4
+CONTENT_FACTOR = 16
 """How many times longer the pause is for an owner that lacks no room: it hears of its own runs'
-ends anyway. By simulation of twelve owners and 67 workers at 0.67 of their capacity it took 43 %
-off the reports, and no worth."""
+ends anyway, and at once when an agent refuses a start for want of room. By simulation of twelve
+owners and 67 workers at 0.52, 0.72 and 0.88 of their capacity, 16 sends 29 %, 23 % and 10 % fewer
+reports than 4, with as many refused starts and no loss of worth."""
 
 
 def get_room_pause(*, is_near: bool, owners: int, is_content: bool = False) -> float:
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -65,6 +65,9 @@
         self._lives = WorkerLives()
         self._is_draining = False
         self._runs: dict[RunId, Run] = {}
+        self._used = Resources()
+        """What the runs take together; summing it up anew for each report to each owner took 4 % of
+        an agent's processor time."""
         self._strays: set[RunId] = set()
         self._health = WorkerHealth()
         self._heard_at: dict[str, float] = {}
@@ -109,12 +112,8 @@
 
     def get_free(self) -> Resources:
         """Return what is free on the worker."""
-        if self.life is None:
-            return Resources()
-        free = self.life.capacity
-        for run in self._runs.values():
-            free -= run.request.resources
-        return free
+        life = self._lives.current
+        return Resources() if life is None else life.capacity - self._used
 
     def get_pace(self, *, now: float) -> float:
         """Return the mean pace of the jobs that run, or 0 if they are too few to tell."""
@@ -176,6 +175,7 @@
         if not request.resources.fits(self.get_free()):
             return [self._refuse(request, EndReason.NO_ROOM), ReportRoom()]
         self._runs[request.run_id] = Run(request=request, ordered_at=now)
+        self._used += request.resources
         return [OrderStart(request=request), ReportRoom()]
 
     def take_outcome(
@@ -342,6 +342,7 @@
     def _end(self, run: Run, reason: EndReason, now: float) -> list[Action]:
         request = run.request
         del self._runs[request.run_id]
+        self._used -= request.resources
         report = ReportEnd(
             owner=request.owner,
             run_id=request.run_id,
@@ -363,6 +364,7 @@
             for run_id, run in self._runs.items()
         ]
         self._runs.clear()
+        self._used = Resources()
         return ends
 
     def _refuse(self, request: StartRequest, reason: EndReason) -> ReportEnd:
--- a/dalemast/fleet/agent/owner_sessions.py
+++ b/dalemast/fleet/agent/owner_sessions.py
@@ -28,6 +28,8 @@
     def __init__(self, *, link: Link, links: OwnerSessionKeeper) -> None:
         self.link = link
         self.member: Member | None = None
+        self.is_near = False
+        """Whether the entry is in the agent's data centre, once it has greeted."""
         self.seen = 0
         """The number of the last start that arrived on this link."""
         self.audience = RoomAudience()
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -73,9 +73,7 @@
             make_receiver=lambda link: OwnerSession(link=link, links=self),
         )
         self._sessions: dict[str, OwnerSession] = {}
-        self._reports = WorkerReports(
-            data_centre=data_centre, supervisor=supervisor, sessions=self._sessions
-        )
+        self._reports = WorkerReports(supervisor=supervisor, sessions=self._sessions)
 
     def __len__(self) -> int:
         return len(self._sessions)
@@ -204,6 +202,7 @@
 
     def _greet(self, session: OwnerSession, hello: EntryHello) -> None:
         session.member = to_member(hello.member)
+        session.is_near = session.member.data_centre == self._data_centre
         self._sessions[session.owner] = session
         self._supervisor.hear(session.owner, now=time.monotonic())
         self._book.learn([session.member])
--- a/dalemast/fleet/agent/reports.py
+++ b/dalemast/fleet/agent/reports.py
@@ -23,10 +23,7 @@
     ``sessions`` are the links with entries, by owner; their keeper adds to them and takes away.
     """
 
-    def __init__(
-        self, *, data_centre: str, supervisor: Supervisor, sessions: Mapping[str, OwnerSession]
-    ) -> None:
-        self._data_centre = data_centre
+    def __init__(self, *, supervisor: Supervisor, sessions: Mapping[str, OwnerSession]) -> None:
         self._supervisor = supervisor
         self._sessions = sessions
         self._ended_for: OwnerSession | None = None
@@ -76,15 +73,19 @@
 
     def send_due(self, *, now: float) -> None:
         """Send the room reports that are due."""
-        near = sum(self._is_near(session) for session in self._sessions.values())
-        for session in self._sessions.values():
-            is_near = self._is_near(session)
+        due = [session for session in self._sessions.values() if session.audience.is_due]
+        if not due:
+            return
+        near = sum(session.is_near for session in self._sessions.values())
+        far = len(self._sessions) - near
+        for session in due:
+            audience = session.audience
             pause_s = get_room_pause(
-                is_near=is_near,
-                owners=near if is_near else len(self._sessions) - near,
-                is_content=session.audience.is_content,
+                is_near=session.is_near,
+                owners=near if session.is_near else far,
+                is_content=audience.is_content,
             )
-            if session.audience.take_due(now=now, pause_s=pause_s):
+            if audience.take_due(now=now, pause_s=pause_s):
                 self._send_room(session, now)
 
     def _announce_worker(self) -> None:
@@ -106,9 +107,6 @@
         for session in self._sessions.values():
             session.audience.hasten()
 
-    def _is_near(self, session: OwnerSession) -> bool:
-        return session.member is not None and session.member.data_centre == self._data_centre
-
     def _send_room(self, session: OwnerSession, now: float) -> None:
         free = self._supervisor.get_free()
         session.link.send(
