--- a/dalemast/emulator/worker.py
+++ b/dalemast/emulator/worker.py
@@ -36,14 +36,22 @@
 LATE_ORDER_S = (0.5, 2.0)
 """How much later than sent an order without an answer is carried out."""
 
+UNANSWERED_S = 5.0
+"""How long a call that gets no answer is held; every caller has given it up before."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerFaults:
-    """Shares of orders or runs that go wrong. ``slow`` multiplies run times."""
+    """Shares of orders or runs that go wrong. ``slow`` multiplies run times.
+
+    ``late_orders`` are starts that get no answer and are carried out later, ``lost_stops`` are
+    stops that get none and are never carried out.
+    """
 
     fail: float = 0.0
     stand_still: float = 0.0
     late_orders: float = 0.0
+    lost_stops: float = 0.0
     slow: float = 1.0
 
 
@@ -174,7 +182,7 @@
     async def _start_run(self, call: dict[str, Any]) -> tuple[int, ClockAnswer]:
         if self._random.random() < self._faults.late_orders:
             self._spawn(self._start_late(call))
-            await asyncio.sleep(5.0)
+            await asyncio.sleep(UNANSWERED_S)
         return self._carry_out(call)
 
     async def _start_late(self, call: dict[str, Any]) -> None:
@@ -200,6 +208,9 @@
         return (409 if reason else 200), self._make_answer(reason)
 
     async def _stop_run(self, call: dict[str, Any]) -> tuple[int, ClockAnswer]:
+        if self._random.random() < self._faults.lost_stops:
+            await asyncio.sleep(UNANSWERED_S)
+            return 503, self._make_answer("")
         now = self._now()
         reason = self._runs.stop(call["task"], call["run"], call["fence"], now=now)
         return (409 if reason else 200), self._make_answer(reason)
