Say how far a job's starts were spread, and when a late job was late for that

Change: job:ended carries spread_s, from the first start to the last; dalemast losses has a cause for it.

Tried and left: jobs about to be refused were begun on workers that are distrusted as slow if late was still possible, whole or not at all.

--- a/dalemast/core/scheduling/actions.py
+++ b/dalemast/core/scheduling/actions.py
@@ -101,8 +101,8 @@
 class JobFinished:
     """A job has ended.
 
-    ``waited_s`` is the time until its first task was started, ``objective_s`` that within which its
-    answer is on time; ``refused_starts`` counts starts that agents did not take, mostly since
+    ``waited_s`` is the time until its first task was started, ``spread_s`` that from there until its
+    last one was, ``objective_s`` that within which its answer is on time; ``refused_starts`` counts starts that agents did not take, mostly since
     another owner was quicker to use the room.
     """
 
@@ -110,6 +110,7 @@
     state: JobState
     cause: str
     waited_s: float
+    spread_s: float
     objective_s: float
     runs: int
     refused_starts: int
--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -70,6 +70,7 @@
         self.latest_late_start = self.latest_start + (LATE_FACTOR - 1.0) * objective_s
         """Until when it can begin and be late, but of some use."""
         self.first_start_at: float | None = None
+        self.last_start_at = arrived_at
         self.runs = 0
         self.refused_starts = 0
         self.workers: dict[str, int] = {}
@@ -115,6 +116,7 @@
         task.run_factor = run_factor
         self.runs += 1
         self.workers[worker] = self.workers.get(worker, 0) + 1
+        self.last_start_at = now
         if self.first_start_at is None:
             self.first_start_at = now
 
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -335,6 +335,7 @@
             state=state,
             cause=cause,
             waited_s=(now if first is None else first) - job.arrived_at,
+            spread_s=0.0 if first is None else job.last_start_at - first,
             objective_s=job.objective_s,
             runs=job.runs,
             refused_starts=job.refused_starts,
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -234,6 +234,7 @@
             took_s=round(took_s, 3),
             claim_s=round(job.submitted_at - job.arrived_at, 3),
             waited_s=round(action.waited_s, 3),
+            spread_s=round(action.spread_s, 3),
             objective_s=round(action.objective_s, 3),
             runs=action.runs,
             refused_starts=action.refused_starts,
--- a/dalemast/observability/losses.py
+++ b/dalemast/observability/losses.py
@@ -12,7 +12,8 @@
 __all__ = ["Loss", "count_losses", "find_losses"]
 
 LONG_WAIT_SHARE = 0.25
-"""Share of its objective from which a late job's wait for its first start counts as the cause."""
+"""Share of its objective from which a late job's wait for its first start counts as the cause, or
+the time from its first start to its last."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -89,6 +90,8 @@
         return "late: a task ran again"
     if row.get("claim_s", 0.0) + row.get("waited_s", 0.0) > LONG_WAIT_SHARE * objective_s:
         return "late: waited for room"
+    if row.get("spread_s", 0.0) > LONG_WAIT_SHARE * objective_s:
+        return "late: its tasks began one after another"
     return "late: began in time, ran long"
 
 
--- a/tests/observability/test_losses.py
+++ b/tests/observability/test_losses.py
@@ -32,6 +32,7 @@
             ("late: began in time, ran long", {**late, "waited_s": 0.1}),
             ("late: waited for room", {**late, "waited_s": 0.4}),
             ("late: a task ran again", {**late, "runs": 3}),
+            ("late: its tasks began one after another", {**late, "spread_s": 0.3}),
             ("failed: failed", {**ENDED, "state": "failed"}),
             ("refused: all workers full", {**REFUSED, "free_cpu": 1999}),
             (
