Dial the entries of the choice alone when an agent learns of many

Cause: an agent dialled each entry as it was learned of, and ended what the choice did not fall on a second later.

Change: addresses are dialled in the next turn of the loop: all while they are few, else those of the choice.

--- a/dalemast/core/scheduling/actions.py
+++ b/dalemast/core/scheduling/actions.py
@@ -101,9 +101,9 @@
 class JobFinished:
     """A job has ended.
 
-    ``waited_s`` is the time until its first task was started, ``spread_s`` that from there until its
-    last one was, ``objective_s`` that within which its answer is on time; ``refused_starts`` counts starts that agents did not take, mostly since
-    another owner was quicker to use the room.
+    ``waited_s`` is the time until its first task was started, ``spread_s`` that from there until
+    its last one was, ``objective_s`` that within which its answer is on time; ``refused_starts``
+    counts starts that agents did not take, mostly since another owner was quicker to use the room.
     """
 
     job: JobRequest
--- a/dalemast/fleet/agent/dialling.py
+++ b/dalemast/fleet/agent/dialling.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from collections.abc import Callable, Collection
 from typing import Any
 
@@ -41,12 +43,12 @@
         self._make_receiver = make_receiver
         self._dialers: dict[str, Dialer] = {}
         self._reviewed_at = 0.0
+        self._is_dialling_due = False
 
     def start(self) -> None:
-        """Dial every entry that is known now or later, until the choice is reviewed."""
-        for address in self._book.addresses:
-            self._dial(address)
-        self._book.on_address(self._dial)
+        """Dial the entries that are wanted of those known now or later."""
+        self._dial_wanted()
+        self._book.on_address(self._note_address)
 
     def stop(self) -> None:
         """Dial no more and end all links."""
@@ -73,6 +75,27 @@
             if is_spare:
                 self._end(address)
 
+    def _note_address(self, address: str) -> None:
+        """Dial soon: addresses are mostly learned together, and the choice wants to see them all.
+
+        Dialled one by one as they were learned, all entries of a large system were dialled before
+        the choice fell on a few: at 35 entries and 160 agents 3,000 links of 5,600 were ended again
+        within a second, also right after a loss of all power.
+        """
+        if not self._is_dialling_due:
+            self._is_dialling_due = True
+            asyncio.get_running_loop().call_soon(self._dial_wanted)
+
+    def _dial_wanted(self) -> None:
+        """Dial all entries while they are few, else those that the choice falls on."""
+        self._is_dialling_due = False
+        wanted: Collection[str] = self._book.addresses
+        if len(wanted) > self._bounds.total:
+            members = {member.address: member for member in self._book.members}
+            wanted = self._choose_addresses(members, time.monotonic())
+        for address in wanted:
+            self._dial(address)
+
     def _choose_addresses(self, members: dict[str, Member], now: float) -> set[str]:
         by_name = {
             member.name: address
