Log what a job waits for once its caller's patience is over

Change: job:overdue, once a job, with its tasks by phase, its workers, and which are in reach. A call that ran out of time while it waited for a connection wakes the next one also if its turn had just come.

--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 
 from dalemast.core.workloads import JobRequest, StepRequest, TaskKey
 
@@ -97,6 +98,10 @@
         """Whether every task has ended well."""
         return not any(self._left)
 
+    def count_phases(self) -> dict[str, int]:
+        """Return how many tasks stand in each phase, for whoever asks why a job takes so long."""
+        return dict(Counter(task.phase.value for task in self.tasks.values()))
+
     def set_waiting(self, task: Task) -> None:
         """Let a task wait for a worker."""
         task.phase = TaskPhase.WAITING
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -51,6 +51,8 @@
         self.arrived_at = arrived_at
         self.answer: asyncio.Future[JobOutcome] = asyncio.get_running_loop().create_future()
         self.is_submitted = False
+        self.is_overdue = False
+        """Whether it was logged that the caller's patience is over."""
         self.submitted_at = arrived_at
         """When the id was claimed and the scheduler took the job on."""
 
@@ -169,6 +171,29 @@
                 del self._ending[job_id]
                 self._release(job_id)
         self.apply(self._scheduler.tick(now=now))
+        self._log_overdue(now)
+
+    def _log_overdue(self, now: float) -> None:
+        """Log each job once that is still open when its caller has waited as long as it would.
+
+        Its caller may be gone without a word, and nothing else would tell what the job waits for.
+        """
+        for job_id, job in self._open.items():
+            if job.is_overdue or now - job.arrived_at <= job.request.patience_s:
+                continue
+            job.is_overdue = True
+            known = self._scheduler.open_jobs.get(job_id)
+            workers = {} if known is None else known.workers
+            log_event(
+                "job:overdue",
+                job=job_id,
+                queue=job.request.queue.name,
+                age_s=round(now - job.arrived_at, 3),
+                is_claimed=job.is_submitted,
+                tasks={} if known is None else known.count_phases(),
+                workers=list(workers),
+                in_reach=[name for name in workers if name in self._scheduler.workers],
+            )
 
     def abandon_begun(self, now: float) -> None:
         """Drop what has begun, after this process stood still: the runs were stopped meanwhile."""
--- a/dalemast/http/direct.py
+++ b/dalemast/http/direct.py
@@ -141,8 +141,8 @@
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
-            elif waiter.cancelled():
-                # It was this call's turn as it ended.
+            elif asyncio.get_running_loop().time() >= over_at:
+                # It may have been this call's turn as it ended.
                 self._wake_next()
 
     def _release(self, connection: _Connection) -> None:
--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -15,6 +15,7 @@
 from dalemast.fleet.entry import FleetEntryProcess
 from dalemast.fleet.process import STANDSTILLS
 from dalemast.http.client import HttpFailure, JsonClient, JsonResponse
+from dalemast.platform.wire import DEADLINE_HEADER
 from dalemast.settings import (
     AddressSettings,
     FleetAgentSettings,
@@ -160,11 +161,14 @@
         text: str = "",
         count: int = 1,
         timeout_s: float = 15.0,
+        patience_ms: int | None = None,
         **step: Any,
     ) -> JsonResponse:
-        """Submit a job and wait for its answer."""
+        """Submit a job and wait for its answer; ``patience_ms`` is what the entry is told."""
         body = make_body(text=text, count=count, **step)
-        return await self.call("POST", PREFIX + job_id, entry, body, timeout_s=timeout_s)
+        headers = {} if patience_ms is None else {DEADLINE_HEADER: str(patience_ms)}
+        path = PREFIX + job_id
+        return await self.call("POST", path, entry, body, timeout_s=timeout_s, headers=headers)
 
     async def submit_like_a_caller(self, job_id: str, **job: Any) -> JsonResponse:
         """Submit a job, and again if it is given up since a process of this loop stood still.
@@ -183,7 +187,13 @@
         return sum(process._metrics.get_count(STANDSTILLS) for process in processes)
 
     async def call(
-        self, method: str, path: str, entry: int = 0, body: Any = None, timeout_s: float = 15.0
+        self,
+        method: str,
+        path: str,
+        entry: int = 0,
+        body: Any = None,
+        timeout_s: float = 15.0,
+        headers: dict[str, str] | None = None,
     ) -> JsonResponse:
         """Call an entry as a caller does."""
         address = self.entry_settings[entry].callers.address
@@ -191,7 +201,7 @@
             method,
             f"http://{address}{path}",
             body=body,
-            headers={"Host": HOST},
+            headers={"Host": HOST, **(headers or {})},
             timeout_s=timeout_s,
         )
 
--- a/tests/fleet/test_cancelled.py
+++ b/tests/fleet/test_cancelled.py
@@ -71,3 +71,23 @@
             f"{self._checks:016x}", entry=entry, cpu=fleet._cpu, text=make_text(0.05)
         )
         self.assertEqual(200, response.status)
+
+
+class OverdueTests(AsyncTestCase):
+    """A job that is open though its caller has waited as long as it would is told of, once."""
+
+    def test_what_an_overdue_job_waits_for_is_logged(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                job = asyncio.ensure_future(fleet.submit(JOB, text=make_text(1.0), patience_ms=200))
+                with mock.patch("dalemast.fleet.entry.desk.log_event") as log:
+                    self.assertEqual(200, (await job).status)
+                overdue = [call for call in log.call_args_list if call.args == ("job:overdue",)]
+                self.assertEqual(1, len(overdue))
+                told = overdue[0].kwargs
+                self.assertEqual(
+                    (JOB, True, {"placed": 1}), (told["job"], told["is_claimed"], told["tasks"])
+                )
+                self.assertEqual(told["workers"], told["in_reach"])
+
+        self.run_async(scenario())
