End a link on a frame that is no whole text, and test links one at a time

Cause: such a frame was passed over in silence; it would be a start or an end that the peer believes to be known.

tests/fleet/test_links.py: what shares a frame, what ends a link (nonsense, a binary or unfinished frame, a fault of the receiver's), a path nobody serves.

--- a/dalemast/fleet/links/base.py
+++ b/dalemast/fleet/links/base.py
@@ -30,6 +30,8 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+_KEEP_ALIVES = frozenset({WSMsgType.PING, WSMsgType.PONG})
+
 encoder = msgspec.json.Encoder()
 
 
@@ -151,7 +153,12 @@
         if frame.msg_type == WSMsgType.CLOSE:
             transport.disconnect()
             return
+        if frame.msg_type in _KEEP_ALIVES:
+            return
         if frame.msg_type != WSMsgType.TEXT or not frame.fin:
+            # Passed over, it would be a start or an end that the peer believes to be known here.
+            log_error("link:bad-frame", reason=f"{frame.msg_type.name}, whole: {frame.fin}")
+            link.reset()
             return
         try:
             receiver.receive(link.decode(frame.get_payload_as_memoryview()))
--- /dev/null
+++ b/tests/fleet/test_links.py
@@ -0,0 +1,146 @@
+"""One link at a time: what ends it, and what it never passes over in silence."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from picows import WSFrame, WSListener, WSMsgType, WSTransport, ws_connect
+
+from dalemast.fleet.frames import Beat, PeerMessage
+from dalemast.fleet.links import Dialer, Link, LinkListener, LinkRoute
+from tests.base import AsyncTestCase, wait_until
+from tests.fleet.base import find_address
+
+PATH = "/links"
+
+
+class Receiver:
+    """Notes what arrives on a link, and its end."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self.messages: list[Any] = []
+        self.is_closed = False
+
+    def receive(self, messages: list[Any]) -> None:
+        self.messages += messages
+        if any(isinstance(message, Beat) and not message.hears_other for message in messages):
+            raise RuntimeError("a fault of the receiver's")
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class RawPeer(WSListener):  # type: ignore[misc]
+    """A peer that sends what no link of ours would."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_over = asyncio.Event()
+
+    def on_ws_frame(self, transport: WSTransport, frame: WSFrame) -> None:
+        """Pass over what arrives."""
+
+    def on_ws_disconnected(self, transport: WSTransport) -> None:
+        self.is_over.set()
+
+
+class LinkTests(AsyncTestCase):
+    def serve(self, scenario: Any) -> None:
+        """Run a scenario with an accepting end; it gets its address and its receivers."""
+
+        async def run() -> None:
+            accepted: list[Receiver] = []
+
+            def accept(link: Link) -> Receiver:
+                accepted.append(Receiver(link))
+                return accepted[-1]
+
+            address = find_address()
+            route = LinkRoute(path=PATH, message_type=PeerMessage, accept=accept)
+            listener = LinkListener(address=address, routes=(route,))
+            await listener.start()
+            try:
+                await scenario(address, accepted)
+            finally:
+                await listener.close()
+
+        self.run_async(run())
+
+    async def check_ends(self, address: str, accepted: list[Receiver], send: Any) -> None:
+        """Check that what a raw peer sends ends its link, and that nothing of it is taken in."""
+        transport, peer = await ws_connect(RawPeer, f"ws://{address}{PATH}")
+        send(transport)
+        await asyncio.wait_for(peer.is_over.wait(), 10.0)
+        await wait_until(lambda: accepted[-1].is_closed, "the link to end")
+        self.assertEqual([], accepted[-1].messages)
+
+    def test_messages_of_one_turn_share_a_frame_and_arrive_in_order(self) -> None:
+        async def scenario(address: str, accepted: list[Receiver]) -> None:
+            dialled: list[Receiver] = []
+
+            def take(link: Link) -> Receiver:
+                dialled.append(Receiver(link))
+                return dialled[-1]
+
+            dialer = Dialer(
+                url=f"ws://{address}{PATH}", message_type=PeerMessage, make_receiver=take
+            )
+            await wait_until(lambda: bool(dialled and accepted), "the link")
+            for _ in range(3):
+                dialled[0].link.send(Beat())
+            await wait_until(lambda: len(accepted[0].messages) == 3, "the messages")
+            accepted[0].link.reset()
+            await wait_until(lambda: len(dialled) == 2, "a new link")
+            self.assertTrue(dialled[0].is_closed)
+            dialer.stop()
+            await wait_until(lambda: accepted[-1].is_closed, "the end")
+
+        self.serve(scenario)
+
+    def test_what_does_not_parse_ends_the_link(self) -> None:
+        async def scenario(address: str, accepted: list[Receiver]) -> None:
+            await self.check_ends(
+                address, accepted, lambda peer: peer.send(WSMsgType.TEXT, b'[["?"')
+            )
+
+        self.serve(scenario)
+
+    def test_a_frame_that_is_no_whole_text_ends_the_link(self) -> None:
+        async def scenario(address: str, accepted: list[Receiver]) -> None:
+            for kind, fin in ((WSMsgType.BINARY, True), (WSMsgType.TEXT, False)):
+                await self.check_ends(
+                    address,
+                    accepted,
+                    lambda peer, kind=kind, fin=fin: peer.send(kind, b'[["b"]]', fin=fin),
+                )
+
+        self.serve(scenario)
+
+    def test_a_fault_in_the_receiver_ends_the_link(self) -> None:
+        async def scenario(address: str, accepted: list[Receiver]) -> None:
+            transport, peer = await ws_connect(RawPeer, f"ws://{address}{PATH}")
+            transport.send(WSMsgType.TEXT, b'[["b",false]]')
+            await asyncio.wait_for(peer.is_over.wait(), 10.0)
+            await wait_until(lambda: accepted[0].is_closed, "the link to end")
+
+        self.serve(scenario)
+
+    def test_a_path_that_nobody_serves_is_refused(self) -> None:
+        async def scenario(address: str, accepted: list[Receiver]) -> None:
+            refused = asyncio.get_running_loop().create_future()
+
+            def take(link: Link) -> Receiver:
+                refused.set_result(False)
+                return Receiver(link)
+
+            dialer = Dialer(
+                url=f"ws://{address}/other", message_type=PeerMessage, make_receiver=take
+            )
+            await asyncio.sleep(0.3)
+            dialer.stop()
+            self.assertFalse(refused.done())
+            self.assertEqual([], accepted)
+
+        self.serve(scenario)
