Give the last attempt of a task to a worker without failures

A worker that fails half its tasks seldom fails two in a row, so its agent doubts it late, and a task that had failed on one was tried on another.

Change: an owner keeps each worker's share of failures among its own latest tasks; a task that has failed once goes to one below 0.2, or waits for one that is full if there is any.

Tests: core/scheduling/test_choices.py, SuspectTests.

--- a/dalemast/core/scheduling/choices.py
+++ b/dalemast/core/scheduling/choices.py
@@ -74,14 +74,14 @@
         workers = [view for view in quick if _has_room(job, task, view)]
         if task.avoided and self._has_alternative(job, task):
             # A task has few attempts: it waits for another worker to have room rather than fail
-            # on the same one again.
-            workers = [view for view in workers if view.name not in task.avoided]
+            # on the same one again, or on one that fails others'.
+            workers = [view for view in workers if not _is_avoided(task, view)]
         return self._placement.choose(job=job, step=task.step, workers=workers, now=self._now)
 
     def _has_alternative(self, job: Job, task: Task) -> bool:
         """Tell whether a worker could take a task, with room or without, that did not fail it."""
         return any(
-            view.name not in task.avoided
+            not _is_avoided(task, view)
             and _has_label(task, view)
             and task.step.resources.fits(view.capacity)
             for view in self._accepting[job.request.queue.service]
@@ -113,6 +113,11 @@
         return quick
 
 
+def _is_avoided(task: Task, view: WorkerView) -> bool:
+    """Tell whether a task had better go elsewhere."""
+    return view.name in task.avoided or (task.failures > 0 and view.is_suspect)
+
+
 def _has_label(task: Task, view: WorkerView) -> bool:
     """Tell whether a worker has the label that a task requires."""
     return not task.step.label or task.step.label in view.labels
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -282,6 +282,7 @@
         view = self._workers.get(task.worker)
         slowness = 1.0
         if view is not None:
+            view.learn_end(is_failure=False)
             view.learn_slowness(compare_run(job, task, run_s), now=now)
             slowness = view.get_slowness(now)
         usual_s = run_s / (slowness * task.run_factor)
@@ -297,6 +298,9 @@
         return self.dispatch(now=now)
 
     def _end_badly(self, job: Job, task: Task, now: float) -> list[Action]:
+        view = self._workers.get(task.worker)
+        if view is not None:
+            view.learn_end(is_failure=True)
         task.failures += 1
         task.avoided.add(task.worker)
         job.leave_worker(task)
--- a/dalemast/core/scheduling/workers.py
+++ b/dalemast/core/scheduling/workers.py
@@ -18,6 +18,12 @@
 SLOWNESS_RANGE = (0.3, 20.0)
 """Bounds on what one task may say of a worker's slowness, so that no outlier decides alone."""
 
+FAILURE_WEIGHT = 0.3
+"""Weight of the newest task in a worker's share of failures: one failure makes it suspect, and two
+tasks that end well after it clear it. Sound workers fail about one task in 500."""
+SUSPECT_SHARE = 0.2
+"""Share of failures from which a worker is no place for the last attempt of a task."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoomReport:
@@ -73,6 +79,7 @@
         self._numbers = 0
         self._slowness = 1.0
         self._learned_at = 0.0
+        self._failed_share = 0.0
 
     @property
     def name(self) -> str:
@@ -109,6 +116,15 @@
         """What was free at the last report, less what was sent since."""
         return self._free
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether many of this owner's latest tasks there have failed.
+
+        Its agent doubts a worker only after failures in a row. One that fails half of its tasks
+        gets new ones meanwhile, and must not get those that have failed elsewhere already.
+        """
+        return self._failed_share >= SUSPECT_SHARE
+
     @property
     def used_share(self) -> float:
         """The share of its processors in use."""
@@ -141,6 +157,11 @@
         """Send it nothing until the next report."""
         self._is_accepting = False
 
+    def learn_end(self, *, is_failure: bool) -> None:
+        """Take in that a task failed or ended well there."""
+        newest = 1.0 if is_failure else 0.0
+        self._failed_share += FAILURE_WEIGHT * (newest - self._failed_share)
+
     def learn_slowness(
         self, ratio: float, *, now: float, weight: float = SPEED_LEARNING_RATE
     ) -> None:
--- a/tests/core/scheduling/test_choices.py
+++ b/tests/core/scheduling/test_choices.py
@@ -31,13 +31,17 @@
     )
 
 
-class ChoiceRoundTests(TestCase):
+class ChoiceTestCase(TestCase):
+    """A job of two tasks, the first of which looks for a worker."""
+
     def setUp(self) -> None:
         super().setUp()
         request = make_job("a", make_step(2))
         self.job = Job(request=request, arrived_at=NOW, objective_s=1.0, chain_s=0.1)
         self.task = self.job.tasks[TaskKey(0, 0)]
 
+
+class ChoiceRoundTests(ChoiceTestCase):
     def test_room_on_a_worker_that_is_too_slow_does_not_count(self) -> None:
         choices = make_round(make_view("full", cpu=500), make_view("slow", cpu=9000, slowness=5.0))
         self.assertEqual(500, choices.get_most_free("floor"))
@@ -55,3 +59,42 @@
         choices.note_start("floor")
         self.assertEqual(500, choices.get_most_free("floor"))
         self.assertIsNone(choices.choose(self.job, self.task))
+
+
+class SuspectTests(ChoiceTestCase):
+    """Several workers fail half of what they start, and seem sound to their agents."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.failing = make_view("failing", cpu=9000)
+        self.failing.learn_end(is_failure=True)
+        self.failing.learn_end(is_failure=False)
+        self.sound = make_view("sound", cpu=9000, slowness=1.3)
+
+    def fail_task(self) -> None:
+        self.task.failures = 1
+        self.task.avoided.add("gone")
+
+    def test_a_first_attempt_may_go_to_any(self) -> None:
+        choices = make_round(self.failing, self.sound)
+        self.assertIs(self.failing, choices.choose(self.job, self.task))
+
+    def test_a_task_that_failed_goes_to_a_worker_without_failures(self) -> None:
+        self.fail_task()
+        choices = make_round(self.failing, self.sound)
+        self.assertIs(self.sound, choices.choose(self.job, self.task))
+
+    def test_it_waits_for_one_that_is_full(self) -> None:
+        self.fail_task()
+        choices = make_round(self.failing, make_view("full", cpu=9000))
+        choices._workers["full"].take(Resources(cpu=9000))
+        self.assertIsNone(choices.choose(self.job, self.task))
+
+    def test_it_does_not_wait_when_all_fail(self) -> None:
+        self.fail_task()
+        self.assertIs(self.failing, make_round(self.failing).choose(self.job, self.task))
+
+    def test_two_tasks_that_end_well_clear_a_worker(self) -> None:
+        self.failing.learn_end(is_failure=False)
+        self.failing.learn_end(is_failure=False)
+        self.assertFalse(self.failing.is_suspect)
