Look less and less often at a worker that resets each connection

Cause: a look that failed was repeated at once.

Change: the first retry comes at once, further ones after 0.02 s, doubling to 0.16 s, less than the lease leaves.

--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -30,6 +30,10 @@
 """Longest wait of one look. The lease outlasts three looks that stay unanswered."""
 LOOK_PAUSE_S = 0.02
 """Pause after a look that failed at once."""
+LONGEST_LOOK_PAUSE_S = 0.16
+"""The pause doubles with each further one up to this: a worker that resets every connection was
+looked at 500 times a second, and each new connection to a worker is priced. Less than half of what
+a lease leaves, so that a worker that answers again in time loses nothing."""
 IDLE_PAUSE_S = 0.5
 """Longest sleep while nothing runs; a start wakes the loop."""
 UNANSWERED_LOOKS = 3
@@ -137,6 +141,7 @@
         except WorkerUnanswered:
             self._unanswered += 1
             self._note_silence()
+            await asyncio.sleep(self._get_pause_s())
             return
         except WorkerReplaced as error:
             log_event("worker:replaced", reason=str(error))
@@ -154,6 +159,12 @@
         if not is_waiting and self._supervisor.has_work:
             await asyncio.sleep(LOOK_PAUSE_S)
 
+    def _get_pause_s(self) -> float:
+        """Return how long to wait before the next look; a single reset in passing costs nothing."""
+        if self._unanswered < 2:
+            return 0.0
+        return min(LOOK_PAUSE_S * 2 ** (self._unanswered - 2), LONGEST_LOOK_PAUSE_S)
+
     def _note_silence(self) -> None:
         if self._unanswered < UNANSWERED_LOOKS:
             return
