--- a/tests/http/test_direct.py
+++ b/tests/http/test_direct.py
@@ -6,7 +6,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from dalemast.http.direct import MAX_BODY_BYTES, MAX_HEAD_BYTES, DirectClient
+from dalemast.http.connections import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from dalemast.http.direct import DirectClient
 from dalemast.http.messages import HttpFailure, JsonResponse
 from tests.base import AsyncTestCase
 
