--- a/tests/management/test_capacity.py
+++ b/tests/management/test_capacity.py
@@ -7,8 +7,9 @@
 import msgspec
 import testtools
 
-from dalemast.bench.capacity import PAGE, RECORDED, Model, render_page
+from dalemast.bench.capacity import PAGE, RECORDED, render_page
 from dalemast.bench.fit import Slope, fit_slope
+from dalemast.bench.target import Model
 
 ROOT = Path(__file__).parents[2]
 
