Move a task once for slowness: one that is slow everywhere is long

Change: a task is moved once for slowness; after that its pace says nothing of its worker. A run that stands still is moved as before.

The test fails on the code before: moved each time it is reported.

--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -52,6 +52,8 @@
         self.run_factor = 1.0
         """How many times as long it takes where it runs, for its distance from its data."""
         self.failures = 0
+        self.slow_moves = 0
+        """How often it was moved since its run was slow, though not standing still."""
         self.avoided: set[str] = set()
         self.free_at = 0.0
         """When a lost run has surely ended."""
--- a/dalemast/core/scheduling/paces.py
+++ b/dalemast/core/scheduling/paces.py
@@ -5,7 +5,14 @@
 from dalemast.core.scheduling.jobs import Job, Task
 from dalemast.core.scheduling.workers import SlowRun, WorkerView
 
-__all__ = ["PACE_WEIGHT", "SLOW_PACE", "compare_run", "is_move_worth_while", "judge_pace"]
+__all__ = [
+    "MOST_SLOW_MOVES",
+    "PACE_WEIGHT",
+    "SLOW_PACE",
+    "compare_run",
+    "is_move_worth_while",
+    "judge_pace",
+]
 
 SLOW_PACE = 2.2
 """From which pace a run counts as slow: workers differ by 1.25, tasks of a step by 15 %, and racks
@@ -18,6 +25,10 @@
 """Ended tasks of a step that are enough to judge the others by."""
 MOVE_GAIN = 1.3
 """How much longer the rest of a slow run must be than a new run elsewhere before it is moved."""
+MOST_SLOW_MOVES = 1
+"""How often a task may be moved since its run is slow. One that is as slow elsewhere is simply
+long, and says nothing of its workers. Without the bound a task of 6.4 s, whose siblings took 2.5 s,
+was moved every 0.3 s until its caller gave up after 27 s, and 71 workers were distrusted for it."""
 STOP_COST_S = 0.06
 """What moving a task costs beside running it again: a stop of up to 50 ms and two messages."""
 SHORTEST_S = 0.001
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -26,6 +26,7 @@
 from dalemast.core.scheduling.hopeless import SeenWorkers
 from dalemast.core.scheduling.jobs import ON_WORKER, START_MARGIN, Job, Task, TaskPhase
 from dalemast.core.scheduling.paces import (
+    MOST_SLOW_MOVES,
     PACE_WEIGHT,
     SLOW_PACE,
     compare_run,
@@ -211,6 +212,8 @@
         pace = judge_pace(job, task, report)
         if pace < SLOW_PACE:
             return []
+        if not report.is_stalled and task.slow_moves >= MOST_SLOW_MOVES:
+            return []
         view.learn_slowness(pace, now=now, weight=PACE_WEIGHT)
         if not report.is_stalled:
             elsewhere = self._choice.begin(now=now).choose(job, task)
@@ -218,6 +221,7 @@
                 return []
             if not is_move_worth_while(report, pace=pace, elsewhere=elsewhere, now=now):
                 return []
+            task.slow_moves += 1
         task.phase = TaskPhase.STOPPING
         task.avoided.add(name)
         return [StopTask(worker=name, job_id=job_id, task=key, run=run)]
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -330,6 +330,33 @@
         )
         self.assertEqual([slow.task], [stop.task for stop in get_stops(actions)])
 
+    def test_a_task_that_is_long_everywhere_is_moved_once_and_blamed_on_one_worker(self) -> None:
+        """One of four tasks took 2.6 times as long, was moved 71 times, and never ended."""
+        for number in range(2, 9):
+            self.add_worker(f"w{number}")
+        starts = get_starts(self.scheduler.submit(make_job("a", make_step(4)), now=10.0))
+        for start in starts[1:]:
+            self.end(start, EndReason.DONE)
+        report = make_slow(age_s=0.02, total_s=0.5, worker_pace=1.0)
+        run = starts[0]
+        moves = 0
+        for step in range(6):
+            now = 10.3 + 0.3 * step
+            stops = get_stops(
+                self.scheduler.report_slow(run.worker, "a", run.task, run.run, report, now=now)
+            )
+            if not stops:
+                break
+            moves += 1
+            (run,) = get_starts(
+                self.scheduler.end_run(
+                    run.worker, "a", run.task, run.run, EndReason.STOPPED, run_s=0.1, now=now + 0.1
+                )
+            )
+        self.assertEqual(1, moves)
+        views = self.scheduler.workers.values()
+        self.assertEqual(1, sum(view.get_slowness(now) > 1.2 for view in views))
+
 
 class SlowWorkerTests(SchedulerTestCase):
     def make_slow(self, name: str, now: float = 10.0) -> None:
