Say more plainly what a few comments meant

Read as a newcomer: the head start of the store, what dalemast.http holds, and what was and was not measured of slowness against the best worker. No code changes.

--- a/dalemast/core/catch_up/missing.py
+++ b/dalemast/core/catch_up/missing.py
@@ -14,8 +14,8 @@
 
 HEAD_START_S = 0.4
 """How long the store alone may bring a version that peers have: its answer of a megabyte takes
-about 0.3 s on a link of 25 Mbit/s. A quarter of the shortest time in which versions must be in
-force is left to the peers even then."""
+about 0.3 s on a link of 25 Mbit/s. Versions must be in force within 2 s at the shortest, so three
+quarters of that are left to the peers."""
 FIRST_HEAD_START_S = 0.05
 """The same for a process without any version, which can serve nobody before it has one."""
 LATER_PAUSE_S = 0.1
--- a/dalemast/core/scheduling/choices.py
+++ b/dalemast/core/scheduling/choices.py
@@ -94,7 +94,7 @@
         Compared, since declared times that are off for all alike make all workers look slow. Not
         with the best: what an owner has learned of one worker is off by a third, so that the best
         of many looks far better than it is. By simulation without faults up to 18 % of the workers
-        were left out so, as if they were slow, and jobs were refused while these had room.
+        were left out so, as if they were slow.
         """
         quick = self._quick.get(service)
         if quick is not None:
--- a/dalemast/http/__init__.py
+++ b/dalemast/http/__init__.py
@@ -1,1 +1,4 @@
-"""HTTP plumbing on tornado, shared by all processes."""
+"""HTTP plumbing, shared by all processes.
+
+Servers and a general client on tornado, and a leaner client for many short calls to one address.
+"""
