--- a/dalemast/bench/__main__.py
+++ b/dalemast/bench/__main__.py
@@ -13,6 +13,7 @@
 import cappa
 import msgspec
 
+from dalemast.bench.costs import run_costs
 from dalemast.bench.faults import run_faults
 from dalemast.bench.report import Figures, get_spread
 from dalemast.bench.runner import run_scenario
@@ -166,7 +167,7 @@
     ]
 
 
-SPECIAL = {"faults": run_faults, "slopes": run_slopes}
+SPECIAL = {"costs": run_costs, "faults": run_faults, "slopes": run_slopes}
 """What is not a scenario: runs of their own kind, by name."""
 
 
--- a/dalemast/bench/policies.py
+++ b/dalemast/bench/policies.py
@@ -24,7 +24,7 @@
 )
 from dalemast.fleet.backends import load_backend
 
-__all__ = ["Play", "PoliciesCommand", "play"]
+__all__ = ["AFTERMATH_S", "Play", "PoliciesCommand", "make_simulation", "play"]
 
 USUAL_WORKERS = 11
 """Workers that the rates of the users' kinds of jobs are meant for; more workers get more jobs."""
@@ -75,8 +75,8 @@
     declares_truly: bool = False
 
 
-def play(asked: Play) -> tuple[Outcome, int]:
-    """Return the outcome and how many room reports agents sent; the same for the same question."""
+def make_simulation(asked: Play) -> Simulation:
+    """Return what is to be simulated, ready to run."""
     user = USERS[asked.user]
     arrivals = list(
         generate(
@@ -95,12 +95,17 @@
         speeds=user.speeds,
         sizes=user.sizes,
     )
-    simulation = Simulation(
+    return Simulation(
         shape=shape.see_at_once() if asked.sees_at_once else shape,
         make_order=lambda: load_backend(asked.order),
         arrivals=arrivals,
         seed=asked.seed,
     )
+
+
+def play(asked: Play) -> tuple[Outcome, int]:
+    """Return the outcome and how many room reports agents sent; the same for the same question."""
+    simulation = make_simulation(asked)
     outcome = simulation.run(until_s=asked.seconds + AFTERMATH_S)
     return outcome, simulation.reports
 
--- a/dalemast/emulator/simulation.py
+++ b/dalemast/emulator/simulation.py
@@ -120,6 +120,11 @@
             owner = self._rng.randrange(owners)
             self.at(arrival.at, lambda a=arrival, o=owner: self._submit(a, o))
 
+    @property
+    def jobs(self) -> int:
+        """How many jobs arrive."""
+        return len(self._arrivals)
+
     @property
     def now(self) -> float:
         """The simulated time."""
--- a/dalemast/fleet/links/dialer.py
+++ b/dalemast/fleet/links/dialer.py
@@ -53,6 +53,8 @@
         self._message_type = message_type
         self._make_receiver = make_receiver
         self._link: Link | None = None
+        """The open link, from its opening on, which is before the task that dials hears of it."""
+        self._is_stopped = False
         self._failing_since: float | None = time.monotonic()
         """Since when no link is open, or None while one is."""
         self._task = asyncio.create_task(self._keep())
@@ -63,6 +65,7 @@
 
     def stop(self) -> None:
         """End the link and connect no more."""
+        self._is_stopped = True
         self._task.cancel()
         if self._link is not None:
             self._link.end()
@@ -74,7 +77,6 @@
             if opened is not None:
                 tries = 0
                 self._failing_since = None
-                self._link = opened.link
                 await opened.ended
                 self._link = None
                 self._failing_since = time.monotonic()
@@ -90,6 +92,20 @@
             return DOUBTED_RETRY_S
         return min(FIRST_RETRY_S * 2**tries, LONGEST_RETRY_S)
 
+    def _take_link(self, link: Link) -> LinkReceiver:
+        """Take in a link that has just opened, and end it if it came too late."""
+        self._link = link
+        receiver = self._make_receiver(link)
+        if self._is_stopped:
+            link.end()
+        return receiver
+
+    def _drop_link(self) -> None:
+        """End a link that has opened just as its try was given up, so that it is not kept twice."""
+        if self._link is not None:
+            self._link.reset()
+            self._link = None
+
     async def _connect(self, connect_s: float) -> LinkSocket | None:
         """Open a link; ``connect_s`` bounds the wait for its connection alone."""
 
@@ -100,7 +116,7 @@
             async with asyncio.timeout(OPEN_TIMEOUT_S):
                 _, opened = await ws_connect(
                     lambda: LinkSocket(
-                        message_type=self._message_type, make_receiver=self._make_receiver
+                        message_type=self._message_type, make_receiver=self._take_link
                     ),
                     self._url,
                     socket_factory=connect,
@@ -110,6 +126,7 @@
         except (OSError, WSError, TimeoutError):
             # An address that does not answer is normal here: hosts go, restart and are cut off.
             # What follows from it (a lost owner or peer) is logged where it is decided.
+            self._drop_link()
             return None
         assert isinstance(opened, LinkSocket)
         return opened
--- a/dalemast/fleet/links/listener.py
+++ b/dalemast/fleet/links/listener.py
@@ -33,6 +33,14 @@
         self._server: asyncio.Server | None = None
         self._open: set[LinkSocket] = set()
 
+    @property
+    def address(self) -> str:
+        """The address in use, with the port that the system chose if 0 was asked for."""
+        if self._server is None:
+            return self._address
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
     async def start(self) -> None:
         """Listen."""
         host, _, port = self._address.rpartition(":")
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -99,6 +99,24 @@
 
         self.serve(scenario)
 
+    def test_a_dialer_that_stops_as_its_link_opens_leaves_none_open(self) -> None:
+        """It was open before the task that dials had heard of it, and stayed open for good."""
+
+        async def scenario(address: str, accepted: list[Receiver]) -> None:
+            def take(link: Link) -> Receiver:
+                dialer.stop()
+                return Receiver(link)
+
+            dialer = Dialer(
+                url=f"ws://{address}{PATH}", message_type=PeerMessage, make_receiver=take
+            )
+            await wait_until(lambda: bool(accepted), "the link")
+            await wait_until(lambda: accepted[0].is_closed, "its end")
+            await asyncio.sleep(0.3)
+            self.assertEqual(1, len(accepted))
+
+        self.serve(scenario)
+
     def test_what_does_not_parse_ends_the_link(self) -> None:
         async def scenario(address: str, accepted: list[Receiver]) -> None:
             await self.check_ends(
