Let a try that was given up never become a link

An entry froze for 4 s; its agents' tries of that time, given up after 0.8 s each, all opened when it went on, since picows does not close them.

Change: a try that is given up, by time or by a stop, is marked; if it opens later its connection ends at once and nobody hears of it.

Ruled out: a run placed again by time (70 ms against 1.19 s), a refused start (none).

The test holds three tries' upgrades and lets them go together: three links before, one after.

--- a/dalemast/fleet/links/base.py
+++ b/dalemast/fleet/links/base.py
@@ -131,6 +131,7 @@
         self._make_receiver = make_receiver
         self._receiver: LinkReceiver | None = None
         self._link: Link | None = None
+        self._is_given_up = False
         self.ended = asyncio.get_running_loop().create_future()
         """Done once the link has ended."""
 
@@ -139,8 +140,21 @@
         """The link, once it is open."""
         return self._link
 
+    def give_up(self) -> None:
+        """End it, and let it never become a link if it opens only later.
+
+        A host that stood still answers all tries at once when it goes on. Each of them became a
+        link then, and what was sent on one was missing from the greeting on another.
+        """
+        self._is_given_up = True
+        if self._link is not None:
+            self._link.reset()
+
     def on_ws_connected(self, transport: WSTransport) -> None:
         """Begin; called by the WebSocket."""
+        if self._is_given_up:
+            transport.underlying_transport.abort()
+            return
         _watch(transport)
         self._link = Link(transport=transport, message_type=self._message_type)
         self._receiver = self._make_receiver(self._link)
--- a/dalemast/fleet/links/dialer.py
+++ b/dalemast/fleet/links/dialer.py
@@ -54,7 +54,6 @@
         self._make_receiver = make_receiver
         self._link: Link | None = None
         """The open link, from its opening on, which is before the task that dials hears of it."""
-        self._is_stopped = False
         self._failing_since: float | None = time.monotonic()
         """Since when no link is open, or None while one is."""
         self._task = asyncio.create_task(self._keep())
@@ -65,7 +64,6 @@
 
     def stop(self) -> None:
         """End the link and connect no more."""
-        self._is_stopped = True
         self._task.cancel()
         if self._link is not None:
             self._link.end()
@@ -93,43 +91,37 @@
         return min(FIRST_RETRY_S * 2**tries, LONGEST_RETRY_S)
 
     def _take_link(self, link: Link) -> LinkReceiver:
-        """Take in a link that has just opened, and end it if it came too late."""
+        """Take in a link that has just opened."""
         self._link = link
-        receiver = self._make_receiver(link)
-        if self._is_stopped:
-            link.end()
-        return receiver
-
-    def _drop_link(self) -> None:
-        """End a link that has opened just as its try was given up, so that it is not kept twice."""
-        if self._link is not None:
-            self._link.reset()
-            self._link = None
+        return self._make_receiver(link)
 
     async def _connect(self, connect_s: float) -> LinkSocket | None:
         """Open a link; ``connect_s`` bounds the wait for its connection alone."""
+        opening = LinkSocket(message_type=self._message_type, make_receiver=self._take_link)
 
         async def connect(url: WSParsedURL) -> socket.socket:
             return await _connect_socket(url.host, url.port, connect_s)
 
         try:
             async with asyncio.timeout(OPEN_TIMEOUT_S):
-                _, opened = await ws_connect(
-                    lambda: LinkSocket(
-                        message_type=self._message_type, make_receiver=self._take_link
-                    ),
+                await ws_connect(
+                    lambda: opening,
                     self._url,
                     socket_factory=connect,
                     max_frame_size=MAX_FRAME_BYTES,
                     max_redirects=0,
+                    websocket_handshake_timeout=OPEN_TIMEOUT_S,
                 )
         except (OSError, WSError, TimeoutError):
             # An address that does not answer is normal here: hosts go, restart and are cut off.
             # What follows from it (a lost owner or peer) is logged where it is decided.
-            self._drop_link()
+            opening.give_up()
+            self._link = None
             return None
-        assert isinstance(opened, LinkSocket)
-        return opened
+        except asyncio.CancelledError:
+            opening.give_up()
+            raise
+        return opening
 
 
 async def _connect_socket(host: str, port: int, connect_s: float) -> socket.socket:
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Any
 
 from picows import WSFrame, WSListener, WSMsgType, WSTransport, ws_connect
@@ -32,6 +33,14 @@
         self.is_closed = True
 
 
+async def pipe(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Pass bytes on until the reader ends."""
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(4096):
+            writer.write(data)
+    writer.close()
+
+
 class RawPeer(WSListener):  # type: ignore[misc]
     """A peer that sends what no link of ours would."""
 
@@ -117,6 +126,40 @@
 
         self.serve(scenario)
 
+    def test_a_host_that_stood_still_gets_one_link_however_often_it_was_dialled(self) -> None:
+        """An entry froze for 4 s; on its return an agent had four links with it, and a task that
+        was started on one ran twice, since the greeting on another did not list it."""
+
+        async def scenario(address: str, accepted: list[Receiver]) -> None:
+            thawed = asyncio.Event()
+            host, _, port = address.rpartition(":")
+            tries: list[asyncio.Task[None]] = []
+
+            async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                tries.append(asyncio.current_task())  # type: ignore[arg-type]
+                await thawed.wait()
+                to_reader, to_writer = await asyncio.open_connection(host, int(port))
+                await asyncio.gather(pipe(reader, to_writer), pipe(to_reader, writer))
+
+            frozen = await asyncio.start_server(hold, host, 0)
+            url = f"ws://{host}:{frozen.sockets[0].getsockname()[1]}{PATH}"
+            dialled: list[Receiver] = []
+
+            def take(link: Link) -> Receiver:
+                dialled.append(Receiver(link))
+                return dialled[-1]
+
+            dialer = Dialer(url=url, message_type=PeerMessage, make_receiver=take)
+            await wait_until(lambda: len(tries) == 3, "three tries")
+            thawed.set()
+            await wait_until(lambda: bool(dialled), "a link")
+            await asyncio.sleep(0.3)
+            self.assertEqual(1, len(dialled))
+            dialer.stop()
+            frozen.close()
+
+        self.serve(scenario)
+
     def test_what_does_not_parse_ends_the_link(self) -> None:
         async def scenario(address: str, accepted: list[Receiver]) -> None:
             await self.check_ends(
