--- a/dalemast/bench/costs.py
+++ b/dalemast/bench/costs.py
@@ -33,7 +33,7 @@
 SIMULATED_S = 6.0
 PATH = "/costs"
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n{"clock_ms":482113}'
-CALL = {"task": "5c0e7a21d94b36f8.0.1.17", "run": 2, "spec": "(text)", "until_ms": 486000}
+CALL = {"job": "5c0e7a21d94b36f8", "position": 17, "text": "(as long as a usual one is, about)"}
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
