Dial again when a connection ends before it is a link

Change: a try that has no link at its end has failed; any fault in dialling is logged and followed by another try.

The test ends connections before, in and after the upgrade: one try each before, three and more after.

--- a/dalemast/fleet/links/dialer.py
+++ b/dalemast/fleet/links/dialer.py
@@ -12,6 +12,7 @@
 from picows import WSError, WSParsedURL, ws_connect
 
 from dalemast.fleet.links.base import MAX_FRAME_BYTES, Link, LinkReceiver, LinkSocket
+from dalemast.observability import log_error
 
 __all__ = ["Dialer"]
 
@@ -121,6 +122,17 @@
         except asyncio.CancelledError:
             opening.give_up()
             raise
+        except Exception as error:
+            # A fault in the library or in who takes the link must not end the dialling for good.
+            log_error("link:fault", url=self._url, reason=repr(error))
+            opening.give_up()
+            self._link = None
+            return None
+        if opening.link is None:
+            # The connection ended before it was a link, which the library tells by nothing else:
+            # its end will never be reported, and waited for it would be the end of the dialling.
+            opening.give_up()
+            return None
         return opening
 
 
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -160,6 +160,42 @@
 
         self.serve(scenario)
 
+    def test_a_host_that_ends_connections_before_they_are_links_is_dialled_again(self) -> None:
+        """Soak, seed 1 beside load: an agent whose first try met a host that was just starting
+        never dialled it again."""
+
+        async def read_nothing(reader: asyncio.StreamReader) -> None:
+            """End before the upgrade was read."""
+
+        async def read_some(reader: asyncio.StreamReader) -> None:
+            await reader.read(10)
+
+        async def read_all(reader: asyncio.StreamReader) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+
+        async def run() -> None:
+            for read in (read_nothing, read_some, read_all):
+                tries: list[int] = []
+
+                async def end(
+                    reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter,
+                    read: Any = read,
+                    tries: list[int] = tries,
+                ) -> None:
+                    tries.append(len(tries))
+                    await read(reader)
+                    writer.close()
+
+                server = await asyncio.start_server(end, "127.0.0.1", 0)
+                url = f"ws://127.0.0.1:{server.sockets[0].getsockname()[1]}{PATH}"
+                dialer = Dialer(url=url, message_type=PeerMessage, make_receiver=Receiver)
+                await wait_until(lambda tries=tries: len(tries) >= 3, "further tries")
+                dialer.stop()
+                server.close()
+
+        self.run_async(run())
+
     def test_what_does_not_parse_ends_the_link(self) -> None:
         async def scenario(address: str, accepted: list[Receiver]) -> None:
             await self.check_ends(
