--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,8 +12,9 @@
 """Seeds that failed once.
 
 1 told a broken promise that was none: the soak's caller took a refused connection for a refusal by
-an entry, though its client had sent the request once before on a kept connection. Beside load it failed again, when
-an agent dialled an entry never again whose connection had ended before it was a link.
+an entry, though its client had sent the request once before on a kept connection. Beside load it
+failed again, when an agent dialled an entry never again whose connection had ended before it was a
+link.
 877342 ran a task on two workers for a moment: an agent's new life listed no runs, since it had not
 looked at its worker yet, and the owner took what was not listed as over.
 88993, 914339 and 517246, at 15 s and 4 workers, told of two runs since the proxy delivered bytes
