Keep evacuated data centres free of new work

Cause: nothing read the operators' evacuations, so tasks went on starting in a data centre that was to get none.

Change: evacuations are state of the fleet. They come with the configuration's feed, before the configuration of the same answer; a whole read ends what it does not name. Each report names the store's version that it is true of, so the newest one wins whoever brings it, and a wrong older one is answered. Entries tell one another and all agents, also when a link opens. Entries choose no worker there, for a first start, a second attempt or a move; agents refuse starts of an entry that has not heard; what runs there goes on.

Beside it: tables of several pages are read in whole, which a list of over 500 entries needs. The emulated store tells removals, pages, and answers 410 to a feed that waits when its history goes.

Ruled out: a feed at each agent (65 more long polls on a store whose calls are priced and limited), and keeping to it at one end alone (one stale process starts a task there).

--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -66,6 +66,7 @@
         self._least_waiting_cpu = 0
         """A report of less room than this changes nothing for the tasks that wait."""
         self._workers: dict[str, WorkerView] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._placement = placement
         self._choice = WorkerChoice(placement=placement, workers=self._workers)
         self._wants = RoomWants(order=order)
@@ -124,9 +125,21 @@
     def add_worker(self, view: WorkerView, *, now: float) -> None:
         """Take in a worker that its agent announced."""
         self._workers[view.name] = view
+        view.is_evacuated = view.data_centre in self._evacuated
         self._refusals.note_found_worker(now=now)
         self._seen.add(view)
 
+    def set_evacuated(self, data_centres: frozenset[str], *, now: float) -> list[Action]:
+        """Start nothing in these data centres, and use the others again; what runs goes on.
+
+        Their workers count as seen all the same: a job that they alone can hold waits, and is not
+        called hopeless.
+        """
+        self._evacuated = data_centres
+        for view in self._workers.values():
+            view.is_evacuated = view.data_centre in data_centres
+        return self.dispatch(now=now)
+
     def update_worker(self, name: str, report: RoomReport, *, now: float) -> list[Action]:
         """Take in an agent's report on its worker."""
         view = self._workers.get(name)
--- a/dalemast/core/scheduling/workers.py
+++ b/dalemast/core/scheduling/workers.py
@@ -66,12 +66,16 @@
         capacity: Resources,
         labels: frozenset[str],
         is_near: bool,
+        data_centre: str = "",
     ) -> None:
         self._name = name
         self._service = service
         self._capacity = capacity
         self._labels = labels
         self._is_near = is_near
+        self._data_centre = data_centre
+        self.is_evacuated = False
+        """Whether nothing may be started in its data centre; its agent may not know yet."""
         self._free = capacity
         self._is_accepting = False
         self._reported_at: float | None = None
@@ -106,10 +110,15 @@
         """Whether it is in the owner's data centre."""
         return self._is_near
 
+    @property
+    def data_centre(self) -> str:
+        """Where it is."""
+        return self._data_centre
+
     @property
     def is_accepting(self) -> bool:
-        """Whether its agent takes starts."""
-        return self._is_accepting
+        """Whether its agent takes starts, and its data centre is not evacuated."""
+        return self._is_accepting and not self.is_evacuated
 
     @property
     def free(self) -> Resources:
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -64,6 +64,7 @@
         self._limits = limits
         self._lives = WorkerLives()
         self._is_draining = False
+        self._evacuated: frozenset[str] = frozenset()
         self._runs: dict[RunId, Run] = {}
         self._used = Resources()
         """What the runs take together; summing it up anew for each report to each owner took 4 % of
@@ -123,6 +124,8 @@
         """Tell whether starts are taken."""
         if self.life is None or self.life.is_leaving or self._is_draining:
             return False
+        if self.life.data_centre in self._evacuated:
+            return False
         if not self.is_settled:
             return False
         return self._health.may_start(running=len(self._runs), now=now)
@@ -165,6 +168,14 @@
         self._is_draining = True
         return [ReportRoom()]
 
+    def set_evacuated(self, data_centres: frozenset[str]) -> list[Action]:
+        """Take no starts while the worker is in one of these data centres; what runs goes on.
+
+        Owners know too, but one of them may not have heard yet.
+        """
+        self._evacuated = data_centres
+        return [ReportRoom()]
+
     def start(self, request: StartRequest, *, now: float) -> list[Action]:
         """Take an owner's start, or say that it was not taken."""
         self._heard_at[request.owner] = now
--- a/dalemast/emulator/store.py
+++ b/dalemast/emulator/store.py
@@ -18,6 +18,10 @@
 FEED_GRAIN_S = 0.01
 
 
+class HistoryForgotten(Exception):
+    """A feed would continue from a version that the store has forgotten."""
+
+
 class RowsHandler(RequestHandler):
     """All calls of the store."""
 
@@ -37,15 +41,16 @@
     async def get(self, call: str) -> None:
         """Read a table or follow it."""
         if call == "get":
-            self._send(self._store.read(self.get_argument("table")))
+            first_key = self.get_argument("from", "")
+            self._send(self._store.read_page(self.get_argument("table"), first_key))
             return
         since = int(self.get_argument("since_rev"))
-        if since < self._store.forgotten_version:
+        wait_s = int(self.get_argument("wait_ms", "0")) / 1000
+        try:
+            self._send(await self._store.follow(self.get_argument("table"), since, wait_s))
+        except HistoryForgotten:
             self.set_status(410)
             self.finish(b"{}")
-            return
-        wait_s = int(self.get_argument("wait_ms", "0")) / 1000
-        self._send(await self._store.follow(self.get_argument("table"), since, wait_s))
 
     def post(self, call: str) -> None:
         """Write rows."""
@@ -72,6 +77,8 @@
         """Empty, ``busy`` or ``silent``."""
         self.loses_answers = False
         self.calls = 0
+        self.page_rows = 500
+        """Rows of a page at the most; from the platform."""
 
     @property
     def address(self) -> str:
@@ -95,10 +102,16 @@
         value = base64.b64encode(msgspec.json.encode(document)).decode()
         self.write([{"table": table, "part": "", "key": key, "value": value}])
 
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row as the operator would; feeds tell of it until the history is forgotten."""
+        self.version += 1
+        self._rows[table, key] = RowBody(table=table, key=key, ver=self.version, is_removed=True)
+
     def forget_history(self) -> None:
         """Let feeds from before now fail."""
         self.version += 1
         self.forgotten_version = self.version
+        self._rows = {key: row for key, row in self._rows.items() if not row.is_removed}
 
     def write(self, rows: list[dict[str, Any]]) -> None:
         """Write rows under one new version."""
@@ -107,16 +120,25 @@
             body = RowBody(**row, ver=self.version)
             self._rows[body.table, body.key] = body
 
-    def read(self, table: str) -> RowsAnswer:
-        """Return a table in whole."""
-        rows = tuple(row for (name, _), row in sorted(self._rows.items()) if name == table)
-        return RowsAnswer(rows=rows, ver=self.version)
+    def read_page(self, table: str, first_key: str) -> RowsAnswer:
+        """Return the rows of a table from a key on, as many as a page holds."""
+        rows = tuple(
+            row for row in self._get_rows(table) if row.key >= first_key and not row.is_removed
+        )
+        has_more = len(rows) > self.page_rows
+        return RowsAnswer(rows=rows[: self.page_rows], has_more=has_more, ver=self.version)
+
+    def _get_rows(self, table: str) -> list[RowBody]:
+        """Return the rows of a table by key, with those that were removed."""
+        return [row for (name, _), row in sorted(self._rows.items()) if name == table]
 
     async def follow(self, table: str, since: int, wait_s: float) -> FeedAnswer:
-        """Return what has changed, as soon as anything has."""
+        """Return what has changed, as soon as anything has; raises :class:`HistoryForgotten`."""
         answer_by = asyncio.get_running_loop().time() + wait_s
         while True:
-            rows = tuple(row for row in self.read(table).rows if row.ver > since)
+            if since < self.forgotten_version:
+                raise HistoryForgotten
+            rows = tuple(row for row in self._get_rows(table) if row.ver > since)
             if rows or asyncio.get_running_loop().time() >= answer_by:
                 return FeedAnswer(rows=rows, ver=self.version)
             await asyncio.sleep(FEED_GRAIN_S)
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -19,12 +19,14 @@
 from dalemast.fleet.agent.owner_sessions import OwnerSession
 from dalemast.fleet.agent.reports import WorkerReports, to_want
 from dalemast.fleet.book import AddressBook, to_member
+from dalemast.fleet.evacuations import EvacuationsInForce
 from dalemast.fleet.frames import (
     AgentHello,
     Beat,
     Bye,
     EntryHello,
     EntryMessage,
+    EvacuationNews,
     MemberNews,
     RunEnded,
     RunRow,
@@ -51,6 +53,7 @@
         book: AddressBook,
         bounds: LinkBounds,
         supervisor: Supervisor,
+        evacuations: EvacuationsInForce,
         times: FleetTimes,
         start: Callable[[StartRequest], None],
         stop: Callable[[RunId], None],
@@ -61,6 +64,7 @@
         self._data_centre = data_centre
         self._book = book
         self._supervisor = supervisor
+        self._evacuations = evacuations
         self._times = times
         self._start = start
         self._stop = stop
@@ -188,6 +192,8 @@
         match message:
             case EntryHello():
                 self._greet(session, message)
+            case EvacuationNews():
+                self._take_evacuations(session, message)
             case MemberNews():
                 self._book.learn(to_member(row) for row in message.members)
             case Starts():
@@ -200,6 +206,10 @@
             case Beat() | Bye():
                 pass
 
+    def _take_evacuations(self, session: OwnerSession, news: EvacuationNews) -> None:
+        """Take in what an entry has heard; one that is behind hears it from other entries."""
+        self._evacuations.take(news, source=session.member.name if session.member else "entry")
+
     def _greet(self, session: OwnerSession, hello: EntryHello) -> None:
         session.member = to_member(hello.member)
         session.is_near = session.member.data_centre == self._data_centre
--- a/dalemast/fleet/agent/process.py
+++ b/dalemast/fleet/agent/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from dalemast.core.evacuations import Evacuations
 from dalemast.core.ownership import LinkBounds
 from dalemast.core.supervision import Supervisor, SupervisorLimits
 from dalemast.fleet.agent.owners import OwnerLinks
@@ -12,6 +13,7 @@
 from dalemast.fleet.backends import load_backend
 from dalemast.fleet.base import BaseRegistration, BaseWorkerDriver
 from dalemast.fleet.book import AddressBook
+from dalemast.fleet.evacuations import EvacuationsInForce
 from dalemast.fleet.pauses import PauseWatch
 from dalemast.fleet.process import TICK_S, BaseFleetProcess
 from dalemast.observability import log_event
@@ -41,6 +43,8 @@
             settings.backends.worker, settings=settings, lease_s=self._times.lease_s
         )
         self._worker = WorkerLoop(supervisor=self._supervisor, driver=driver, metrics=self._metrics)
+        self._evacuations = EvacuationsInForce(metrics=self._metrics)
+        self._evacuations.on_change(self._spare_evacuated)
         self._owners = OwnerLinks(
             name=settings.name,
             incarnation=make_incarnation(),
@@ -48,6 +52,7 @@
             book=self._book,
             bounds=LinkBounds(near=settings.max_near_links, far=settings.max_far_links),
             supervisor=self._supervisor,
+            evacuations=self._evacuations,
             times=self._times,
             start=self._worker.start,
             stop=self._worker.stop,
@@ -88,12 +93,17 @@
             "name": self._settings.name,
             "worker": life.id if life else None,
             "is_accepting": self._supervisor.is_accepting(now=time.monotonic()),
+            "evacuated": sorted(self._evacuations.data_centres),
             "is_doubted": self._supervisor.health.is_doubted,
             "free_cpu": self._supervisor.get_free().cpu,
             "runs": len(self._supervisor.runs),
             "entries": len(self._owners),
         }
 
+    def _spare_evacuated(self, evacuations: Evacuations) -> None:
+        """Take no starts while the worker's data centre is evacuated."""
+        self._worker.apply(self._supervisor.set_evacuated(evacuations.data_centres))
+
     async def _close_parts(self) -> None:
         self._owners.stop_all()
         await self._registration.close()
--- a/dalemast/fleet/base.py
+++ b/dalemast/fleet/base.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from dalemast.core.evacuations import EvacuationChanges
 from dalemast.core.scheduling import JobState
 from dalemast.core.supervision import EndedRun, ListedRun, RunId, StartOutcome, StartRequest
 from dalemast.core.supervision.base import WorkerLife
@@ -18,6 +19,7 @@
     "BaseRegistration",
     "BaseWorkerDriver",
     "Configuration",
+    "DeclarationObserver",
     "JobDone",
     "JobDropped",
     "JobOutcome",
@@ -118,8 +120,18 @@
         """How many connections of callers are open."""
 
 
+class DeclarationObserver(Protocol):
+    """Hears what operators declare."""
+
+    def take_evacuations(self, changes: EvacuationChanges) -> None:
+        """Take in what an answer of the store says of evacuations, also if nothing has changed."""
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Take in a configuration as it is accepted."""
+
+
 class BaseMemberStore(abc.ABC):
-    """The platform's store, for the configuration and the list of entries."""
+    """The platform's store, for what operators declare and for the list of entries."""
 
     @abc.abstractmethod
     async def announce(self, member: Member) -> None:
@@ -130,8 +142,12 @@
         """Return the entries that were announced; some may be gone."""
 
     @abc.abstractmethod
-    async def watch_configuration(self, callback: Callable[[Configuration], None]) -> None:
-        """Report each configuration as it is accepted; runs until cancelled."""
+    async def watch_declarations(self, observer: DeclarationObserver) -> None:
+        """Report what operators declare as it is accepted; runs until cancelled.
+
+        Of one answer of the store the evacuations are reported first: an entry serves callers from
+        its first configuration on, and has to know by then where nothing may start.
+        """
 
     @abc.abstractmethod
     async def watch_members(self, callback: Callable[[Member], None]) -> None:
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Iterable
 
+from dalemast.core.evacuations import Evacuations
 from dalemast.core.scheduling import (
     Action,
     AskRoom,
@@ -20,6 +21,7 @@
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.fleet.base import Member
 from dalemast.fleet.book import AddressBook, to_row
+from dalemast.fleet.evacuations import EvacuationsInForce
 from dalemast.fleet.frames import (
     AgentHello,
     AgentMessage,
@@ -88,6 +90,7 @@
         member: Member,
         book: AddressBook,
         scheduler: Scheduler,
+        evacuations: EvacuationsInForce,
         times: FleetTimes,
         apply: Apply,
         note_end: Callable[[RunEnded], None],
@@ -95,6 +98,7 @@
         self._member = member
         self._book = book
         self._scheduler = scheduler
+        self._evacuations = evacuations
         self._times = times
         self._apply = apply
         self._note_end = note_end
@@ -112,6 +116,9 @@
     def accept(self, link: Link) -> AgentSession:
         """Greet an agent that opened a link."""
         link.send(EntryHello(member=to_row(self._member)))
+        news = self._evacuations.make_news()
+        if news is not None:
+            link.send(news)
         return AgentSession(link=link, owner=self)
 
     def tell_members(self, members: Iterable[Member]) -> None:
@@ -121,6 +128,12 @@
             for session in self._sessions.values():
                 session.link.send(news)
 
+    def tell_evacuations(self, _: Evacuations) -> None:
+        """Tell all agents what is evacuated by now."""
+        news = self._evacuations.make_news()
+        for session in self._sessions.values():
+            session.link.send(news)
+
     def send(self, starts: list[StartTask], stops: list[StopTask]) -> None:
         """Send starts and stops; all tasks of a job for one worker share its text."""
         groups: dict[tuple[str, str], list[StartTask]] = {}
@@ -226,6 +239,7 @@
             service=news.service,
             capacity=Resources(cpu=news.cpu, memory_mb=news.memory_mb, gpu=news.gpu),
             labels=frozenset(news.labels),
+            data_centre=hello.data_centre,
             is_near=hello.data_centre == self._member.data_centre,
         )
         session.worker = news.id
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -8,12 +8,14 @@
 import time
 from collections.abc import Callable, Iterable
 
+from dalemast.core.evacuations import Evacuations
 from dalemast.fleet.base import Member
 from dalemast.fleet.book import AddressBook, to_member, to_row
 from dalemast.fleet.entry.claims import JobClaims, OwnJobs
 from dalemast.fleet.entry.configuration import ConfigurationInForce
 from dalemast.fleet.entry.news import ConfigurationExchange
 from dalemast.fleet.entry.peer_sessions import PeerSession
+from dalemast.fleet.evacuations import EvacuationsInForce
 from dalemast.fleet.frames import (
     Beat,
     Bye,
@@ -22,6 +24,7 @@
     ConfigurationAsk,
     ConfigurationLater,
     ConfigurationNews,
+    EvacuationNews,
     MemberNews,
     PeerHello,
     PeerMessage,
@@ -57,12 +60,14 @@
         member: Member,
         book: AddressBook,
         configuration: ConfigurationInForce,
+        evacuations: EvacuationsInForce,
         times: FleetTimes,
         jobs: OwnJobs,
         tell_agents: Callable[[Iterable[Member]], None],
     ) -> None:
         self._member = member
         self._book = book
+        self._evacuations = evacuations
         self._times = times
         self._jobs = jobs
         self._tell_agents = tell_agents
@@ -109,6 +114,12 @@
         """Greet an entry that opened a link."""
         return self._open(link, is_dialled=False)
 
+    def tell_evacuations(self, _: Evacuations) -> None:
+        """Tell all entries what is evacuated by now; the store may turn some of them away."""
+        news = self._evacuations.make_news()
+        for session in self._dialled.values():
+            session.link.send(news)
+
     def learn(self, members: Iterable[Member]) -> None:
         """Take in entries, and pass on those that are news."""
         news = self._book.learn(members)
@@ -125,6 +136,8 @@
                 self._greet(session, message)
             case MemberNews():
                 self.learn([to_member(row) for row in message.members])
+            case EvacuationNews():
+                self._take_evacuations(session, message)
             case VersionNews():
                 self._news.take_version(session, message)
             case ConfigurationAsk():
@@ -241,6 +254,10 @@
                 jobs=tuple(self._jobs.get_open_ids()),
             )
         )
+        evacuations = self._evacuations.make_news()
+        if evacuations is not None:
+            # Before the configuration, with which a young entry begins to serve callers.
+            link.send(evacuations)
         self._news.greet(session)
         return session
 
@@ -261,6 +278,11 @@
         if before is not None and before is not session:
             self.end_session(before)
 
+    def _take_evacuations(self, session: PeerSession, news: EvacuationNews) -> None:
+        answer = self._evacuations.take(news, source=session.name or "peer")
+        if answer is not None:
+            session.link.send(answer)
+
     def _has_met_all(self) -> bool:
         """Tell whether every entry that is known has said which jobs it has."""
         known = {member.name for member in self._book.members}
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from dalemast.core.evacuations import EvacuationChanges, EvacuationRecord, Evacuations
 from dalemast.core.scheduling import (
     FastestPlacement,
     Scheduler,
@@ -24,6 +25,7 @@
 from dalemast.fleet.entry.configuration import ConfigurationInForce
 from dalemast.fleet.entry.desk import JobDesk
 from dalemast.fleet.entry.peers import PeerLinks
+from dalemast.fleet.evacuations import EvacuationsInForce
 from dalemast.fleet.frames import AgentMessage, PeerMessage
 from dalemast.fleet.links import LinkListener, LinkRoute
 from dalemast.fleet.paths import AGENTS_PATH, PEERS_PATH
@@ -61,6 +63,8 @@
         )
         super().__init__(settings=settings, book=AddressBook(own_address=self._member.address))
         self._configuration = ConfigurationInForce()
+        self._evacuation_record = EvacuationRecord()
+        self._evacuations = EvacuationsInForce(metrics=self._metrics)
         self._scheduler = Scheduler(
             order=load_backend(settings.order),
             placement=FastestPlacement(remote_factor=settings.remote_factor),
@@ -78,6 +82,7 @@
             member=self._member,
             book=self._book,
             scheduler=self._scheduler,
+            evacuations=self._evacuations,
             times=self._times,
             apply=self._desk.apply,
             note_end=self._desk.note_end,
@@ -86,11 +91,15 @@
             member=self._member,
             book=self._book,
             configuration=self._configuration,
+            evacuations=self._evacuations,
             times=self._times,
             jobs=self._desk,
             tell_agents=self._agents.tell_members,
         )
         self._desk.set_claims(self._peers.claims)
+        self._evacuations.on_change(self._spare_evacuated)
+        self._evacuations.on_change(self._agents.tell_evacuations)
+        self._evacuations.on_change(self._peers.tell_evacuations)
         self._ingress: BaseIngress = load_backend(
             settings.backends.ingress, settings=settings, jobs=self
         )
@@ -125,6 +134,14 @@
         """Cancel a job whose caller has hung up."""
         self._desk.leave(job_id)
 
+    def take_evacuations(self, changes: EvacuationChanges) -> None:
+        """Take in what the store says of evacuations."""
+        self._evacuations.offer(self._evacuation_record.apply(changes), source="store")
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Take in a configuration from the store."""
+        self._configuration.offer(configuration, source="store")
+
     async def start(self) -> None:
         """Listen, find the others, and follow the configuration."""
         self._listener = LinkListener(
@@ -143,7 +160,7 @@
             self._tick_forever(),
             self._store.announce(self._member),
             self._store.watch_members(self._learn_member),
-            self._store.watch_configuration(self._take_configuration),
+            self._store.watch_declarations(self),
         )
         log_event(
             "process:started",
@@ -186,12 +203,14 @@
             "incarnation": self._member.incarnation,
             "is_ready": self.is_ready,
             "configuration": None if current is None else current.version,
+            "evacuated": sorted(self._evacuations.data_centres),
             "open_jobs": len(self._desk),
             "claims": len(self._peers.claims),
             "peers": self._peers.peers,
             "workers": {
                 view.name: {
                     "is_accepting": view.is_accepting,
+                    "data_centre": view.data_centre,
                     "free_cpu": view.free.cpu,
                     "slowness": round(view.get_slowness(time.monotonic()), 3),
                 }
@@ -206,8 +225,10 @@
         left_s = self._draining_since + self._get_drain_s() - time.monotonic()
         return self._scheduler.expect_s(request) <= left_s
 
-    def _take_configuration(self, configuration: Configuration) -> None:
-        self._configuration.offer(configuration, source="store")
+    def _spare_evacuated(self, evacuations: Evacuations) -> None:
+        """Start nothing in evacuated data centres, and use those that were taken back."""
+        data_centres = evacuations.data_centres
+        self._desk.apply(self._scheduler.set_evacuated(data_centres, now=time.monotonic()))
 
     def _learn_member(self, member: Member) -> None:
         if member.incarnation != self._member.incarnation:
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -28,6 +28,7 @@
     "ConfigurationNews",
     "EntryHello",
     "EntryMessage",
+    "EvacuationNews",
     "MemberNews",
     "MemberRow",
     "PeerHello",
@@ -87,6 +88,16 @@
     member: MemberRow
 
 
+class EvacuationNews(Message, frozen=True, tag="e"):
+    """The evacuated data centres as of a version of the store; see ``Evacuations``.
+
+    Entries tell agents and one another, before anything that could make a task start.
+    """
+
+    version: int
+    data_centres: tuple[str, ...]
+
+
 class MemberNews(Message, frozen=True, tag="m"):
     """Entries that the sender has learned of."""
 
@@ -249,7 +260,7 @@
     job: str
 
 
-EntryMessage = EntryHello | MemberNews | Starts | Stop | Wants | Beat | Bye
+EntryMessage = EntryHello | EvacuationNews | MemberNews | Starts | Stop | Wants | Beat | Bye
 """What an agent hears."""
 AgentMessage = AgentHello | WorkerNews | RoomNews | RunEnded | RunSlow | Beat | Bye
 """What an entry hears from an agent."""
@@ -257,6 +268,7 @@
 """What entries tell one another of configurations."""
 PeerMessage = (
     PeerHello
+    | EvacuationNews
     | MemberNews
     | ConfigurationMessage
     | Claim
--- a/dalemast/platform/store.py
+++ b/dalemast/platform/store.py
@@ -6,12 +6,14 @@
 import base64
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from urllib.parse import urlencode
 
 import msgspec
 
+from dalemast.core.evacuations import EvacuationChanges
 from dalemast.core.workloads import Queue
-from dalemast.fleet.base import BaseMemberStore, Configuration, Member
+from dalemast.fleet.base import BaseMemberStore, Configuration, DeclarationObserver, Member
 from dalemast.http.direct import DirectClient
 from dalemast.http.messages import HttpFailure, JsonResponse
 from dalemast.observability import log_error, log_event
@@ -29,12 +31,14 @@
 
 OPERATORS_TABLE = "op"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+"""A row whose key goes on with the name of a data centre asks for its evacuation."""
 MEMBERS_TABLE = "dalemast-entries"
 READ_TIMEOUT_S = 1.0
 """A healthy store answers in about 4 ms; a slow one may take 60 times as long."""
-CONFIGURATION_WAIT_S = 2.0
-"""Length of one long poll for configurations. A cut connection says nothing, so this bounds how
-late a version is heard once the path is back; each poll is priced at 0.00015."""
+DECLARATIONS_WAIT_S = 2.0
+"""Length of one long poll for configurations and evacuations. A cut connection says nothing, so
+this bounds how late a change is heard once the path is back; each poll is priced at 0.00015."""
 MEMBERS_WAIT_S = 25.0
 """The same for the list of entries, which peers tell each other as well."""
 WAIT_SLACK_S = 0.5
@@ -53,6 +57,15 @@
     """The store has forgotten the versions that a feed would continue from."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TableNews:
+    """Rows of a table as of a version: all of them, or those that changed since the last news."""
+
+    rows: tuple[RowBody, ...]
+    version: int
+    is_whole: bool
+
+
 class PlatformStore(BaseMemberStore):
     """Rows of the store, by feeds that begin with a full read."""
 
@@ -88,27 +101,30 @@
             return []
         return [member for row in answer.rows for member in _read_member(row)]
 
-    async def watch_configuration(self, callback: Callable[[Configuration], None]) -> None:
-        """Report each configuration as it is accepted."""
+    async def watch_declarations(self, observer: DeclarationObserver) -> None:
+        """Report what operators declare as it is accepted."""
 
-        def take(row: RowBody) -> None:
-            if row.key == CONFIGURATION_KEY and not row.is_removed:
-                for configuration in _read_configuration(row):
-                    callback(configuration)
+        def take(news: TableNews) -> None:
+            observer.take_evacuations(_read_evacuations(news))
+            for row in news.rows:
+                if row.key == CONFIGURATION_KEY and not row.is_removed:
+                    for configuration in _read_configuration(row):
+                        observer.take_configuration(configuration)
 
-        await self._watch(OPERATORS_TABLE, CONFIGURATION_WAIT_S, take)
+        await self._watch(OPERATORS_TABLE, DECLARATIONS_WAIT_S, take)
 
     async def watch_members(self, callback: Callable[[Member], None]) -> None:
         """Report each announced entry."""
 
-        def take(row: RowBody) -> None:
-            if not row.is_removed:
-                for member in _read_member(row):
-                    callback(member)
+        def take(news: TableNews) -> None:
+            for row in news.rows:
+                if not row.is_removed:
+                    for member in _read_member(row):
+                        callback(member)
 
         await self._watch(MEMBERS_TABLE, MEMBERS_WAIT_S, take)
 
-    async def _watch(self, table: str, wait_s: float, take: Callable[[RowBody], None]) -> None:
+    async def _watch(self, table: str, wait_s: float, take: Callable[[TableNews], None]) -> None:
         """Read a table in whole, then follow it; begin anew when its history is gone."""
         pause_s = RETRY_S[0]
         version: int | None = None
@@ -116,10 +132,11 @@
             try:
                 if version is None:
                     whole = await self._read(table)
-                    rows, version = whole.rows, whole.ver
+                    news = TableNews(rows=whole.rows, version=whole.ver, is_whole=True)
                 else:
-                    news = await self._follow(table, version, wait_s)
-                    rows, version = news.rows, max(version, news.ver)
+                    feed = await self._follow(table, version, wait_s)
+                    newest = max(version, feed.ver)
+                    news = TableNews(rows=feed.rows, version=newest, is_whole=False)
             except HistoryGone:
                 log_event("store:history-gone", table=table, since=version)
                 version = None
@@ -127,11 +144,24 @@
                 pause_s = await _pause(pause_s)
             else:
                 pause_s = RETRY_S[0]
-                for row in rows:
-                    take(row)
+                version = news.version
+                take(news)
 
     async def _read(self, table: str) -> RowsAnswer:
-        query = urlencode({"table": table, "part": ""})
+        """Read a table page by page, as of the first page's version.
+
+        What changes while later pages are read comes again with the feed from that version.
+        """
+        first = page = await self._read_page(table, "")
+        rows = list(first.rows)
+        while page.has_more:
+            # A page begins with the key that it is asked from: the last one of the page before.
+            page = await self._read_page(table, rows[-1].key)
+            rows += page.rows[1:]
+        return RowsAnswer(rows=tuple(rows), ver=first.ver)
+
+    async def _read_page(self, table: str, first_key: str) -> RowsAnswer:
+        query = urlencode({"table": table, "part": "", "from": first_key})
         response = await self._request("GET", f"/v1/rows-get?{query}", READ_TIMEOUT_S)
         answer = response.decode(RowsAnswer)
         assert isinstance(answer, RowsAnswer)
@@ -189,6 +219,20 @@
         return []
 
 
+def _read_evacuations(news: TableNews) -> EvacuationChanges:
+    rows = [row for row in news.rows if row.key.startswith(EVACUATION_PREFIX)]
+    return EvacuationChanges(
+        version=news.version,
+        begun=frozenset(_read_data_centre(row) for row in rows if not row.is_removed),
+        ended=frozenset(_read_data_centre(row) for row in rows if row.is_removed),
+        is_whole=news.is_whole,
+    )
+
+
+def _read_data_centre(row: RowBody) -> str:
+    return row.key.removeprefix(EVACUATION_PREFIX)
+
+
 def _read_configuration(row: RowBody) -> list[Configuration]:
     try:
         document = msgspec.json.decode(base64.b64decode(row.value), type=ConfigurationDocument)
--- /dev/null
+++ b/tests/core/scheduling/test_evacuations.py
@@ -0,0 +1,87 @@
+"""What an owner does while a data centre is evacuated."""
+
+from __future__ import annotations
+
+from dalemast.core.scheduling import (
+    EndReason,
+    JobRefused,
+    RoomReport,
+    StartTask,
+    StopTask,
+    WorkerView,
+)
+from dalemast.core.workloads import Resources, TaskKey
+from tests.core.scheduling.base import SchedulerTestCase, make_job, make_step
+
+CAPACITY = Resources(cpu=4000, memory_mb=65536)
+
+
+class EvacuationTests(SchedulerTestCase):
+    def add_worker_in(self, data_centre: str, *, now: float = 10.0) -> None:
+        """Add a worker that is named for its data centre."""
+        view = WorkerView(
+            name=data_centre,
+            service="floor",
+            capacity=CAPACITY,
+            labels=frozenset({data_centre}),
+            is_near=True,
+            data_centre=data_centre,
+        )
+        self.scheduler.add_worker(view, now=now)
+        self.report_room(data_centre, now=now)
+
+    def report_room(self, worker: str, *, now: float) -> list:
+        report = RoomReport(seen=0, free=CAPACITY, is_accepting=True)
+        return self.scheduler.update_worker(worker, report, now=now)
+
+    def get_started(self, actions: list) -> list[str]:
+        return [action.worker for action in actions if isinstance(action, StartTask)]
+
+    def test_nothing_new_starts_there_also_if_its_agents_have_not_heard(self) -> None:
+        self.add_worker_in("waco")
+        self.add_worker_in("austin")
+        self.scheduler.set_evacuated(frozenset({"waco"}), now=10.0)
+        self.report_room("waco", now=10.1)
+        actions = self.scheduler.submit(make_job("a", make_step(4)), now=10.2)
+        self.assertEqual(["austin"] * 4, self.get_started(actions))
+
+    def test_what_runs_there_goes_on_and_its_end_counts(self) -> None:
+        self.add_worker_in("waco")
+        self.scheduler.submit(make_job("a"), now=10.0)
+        actions = self.scheduler.set_evacuated(frozenset({"waco"}), now=10.1)
+        self.assertEqual([], [a for a in actions if isinstance(a, StopTask)])
+        ended = self.scheduler.end_run(
+            "waco", "a", TaskKey(0, 0), 1, EndReason.DONE, run_s=0.1, now=10.2
+        )
+        self.assertEqual(["a"], [action.job.id for action in ended])
+
+    def test_a_second_attempt_goes_elsewhere(self) -> None:
+        self.add_worker_in("waco")
+        self.scheduler.submit(make_job("a"), now=10.0)
+        self.scheduler.set_evacuated(frozenset({"waco"}), now=10.1)
+        failed = self.scheduler.end_run(
+            "waco", "a", TaskKey(0, 0), 1, EndReason.FAILED, run_s=0.1, now=10.2
+        )
+        self.assertEqual([], self.get_started(failed))
+        self.add_worker_in("austin", now=10.3)
+        self.assertEqual({"austin"}, set(self.scheduler.open_jobs["a"].workers))
+
+    def test_a_worker_that_comes_into_reach_there_gets_nothing(self) -> None:
+        self.scheduler.set_evacuated(frozenset({"waco"}), now=9.0)
+        self.add_worker_in("waco")
+        self.assertEqual([], self.get_started(self.scheduler.submit(make_job("a"), now=10.1)))
+
+    def test_waiting_work_uses_the_room_as_soon_as_it_is_taken_back(self) -> None:
+        self.add_worker_in("waco")
+        self.scheduler.set_evacuated(frozenset({"waco"}), now=10.0)
+        self.scheduler.submit(make_job("a"), now=10.1)
+        actions = self.scheduler.set_evacuated(frozenset(), now=10.2)
+        self.assertEqual(["waco"], self.get_started(actions))
+
+    def test_a_job_that_only_its_workers_can_hold_is_refused_and_not_called_hopeless(self) -> None:
+        self.add_worker_in("waco")
+        self.scheduler.set_evacuated(frozenset({"waco"}), now=20.0)
+        job = make_job("a", make_step(label="waco"))
+        self.assertEqual([], self.scheduler.submit(job, now=30.0))
+        actions = self.scheduler.tick(now=31.0)
+        self.assertEqual([JobRefused], [type(action) for action in actions])
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,81 @@
+"""The adapter's reading of tables: pages, feeds, and what operators declare."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from dalemast.core.evacuations import EvacuationChanges
+from dalemast.emulator import EmulatedStore
+from dalemast.fleet.base import Member
+from dalemast.platform import PlatformStore
+from dalemast.settings import AddressSettings
+from tests.base import AsyncTestCase, wait_until
+from tests.fleet.base import make_configuration
+
+MEMBERS = 7
+
+
+class StoreSettings:
+    """The part of the settings that the adapter reads."""
+
+    def __init__(self, address: str) -> None:
+        self.store = AddressSettings(address=address)
+
+
+class Listener:
+    """Notes what it hears, in order."""
+
+    def __init__(self) -> None:
+        self.heard: list[Any] = []
+
+    def take_evacuations(self, changes: EvacuationChanges) -> None:
+        self.heard.append(changes)
+
+    def take_configuration(self, configuration: Any) -> None:
+        self.heard.append(configuration.version)
+
+    def count_begun(self, data_centre: str) -> int:
+        """Return how many answers named an evacuation."""
+        changes = [one for one in self.heard if isinstance(one, EvacuationChanges)]
+        return sum(data_centre in one.begun for one in changes)
+
+
+class PlatformStoreTests(AsyncTestCase):
+    def test_a_table_of_several_pages_is_read_in_whole(self) -> None:
+        async def run() -> None:
+            store = EmulatedStore(address="127.0.0.1:0")
+            store.start()
+            store.page_rows = 3
+            client = PlatformStore(settings=StoreSettings(store.address))
+            for number in range(MEMBERS):
+                await client.announce(
+                    Member(name=f"e{number}", incarnation="i", address="a:1", data_centre="austin")
+                )
+            members = await client.list_members()
+            self.assertEqual([f"e{n}" for n in range(MEMBERS)], [m.name for m in members])
+            await store.close()
+
+        self.run_async(run())
+
+    def test_evacuations_are_told_before_the_configuration_of_the_same_answer(self) -> None:
+        async def run() -> None:
+            store = EmulatedStore(address="127.0.0.1:0")
+            store.start()
+            store.put("op", "config", make_configuration(7))
+            store.put("op", "evacuate/waco", {})
+            store.put("op", "wave/1", {"wave": 1})
+            listener = Listener()
+            client = PlatformStore(settings=StoreSettings(store.address))
+            watch = asyncio.create_task(client.watch_declarations(listener))
+            await wait_until(lambda: 7 in listener.heard, "the configuration")
+            first, second = listener.heard[:2]
+            expected = EvacuationChanges(version=3, begun=frozenset({"waco"}), is_whole=True)
+            self.assertEqual((expected, 7), (first, second))
+            store.drop("op", "evacuate/waco")
+            await wait_until(lambda: len(listener.heard) > 2, "the withdrawal")
+            self.assertEqual(frozenset({"waco"}), listener.heard[2].ended)
+            watch.cancel()
+            await store.close()
+
+        self.run_async(run())
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,7 +13,7 @@
 from dalemast.emulator import EmulatedWorker
 from dalemast.http.client import HttpFailure
 from tests.fleet.base import HOST, PREFIX, STEP, make_text
-from tests.soak.cluster import Cluster, Program
+from tests.soak.cluster import SPARED, Cluster, Program
 from tests.soak.proxy import Proxy
 
 RESEND_S = 1.3
@@ -23,6 +23,8 @@
 CALM_S = 25.0
 """Longest time after the last fault until every entry serves again."""
 CALLERS = 6
+SPARED_S = 1.0
+"""How long the workers of an evacuated data centre are watched once every process knows."""
 
 
 @dataclass(kw_only=True)
@@ -47,6 +49,8 @@
 
     def __init__(self, *, seed: int, folder: Path, entries: int, workers: int) -> None:
         self._rng = random.Random(seed)
+        self._operator_rng = random.Random(f"evacuations of {seed}")
+        """Draws of its own, so that a seed that once failed still strikes with the same faults."""
         self._cluster = Cluster(folder=folder, entries=entries, workers=workers)
         self._report = Report(seed=seed)
         self._versions: dict[str, tuple[str, int]] = {}
@@ -64,8 +68,12 @@
             await self._wait_for_calm("at the start")
             callers = [asyncio.create_task(self._call_forever(n)) for n in range(CALLERS)]
             watch = asyncio.create_task(self._watch_versions())
+            evacuations = asyncio.create_task(self._evacuate_now_and_then())
             await self._strike_for(seconds)
+            evacuations.cancel()
+            cluster.take_back()
             await self._wait_for_calm("after the faults")
+            await self._check_evacuation()
             self._is_over = True
             await asyncio.gather(*callers)
             watch.cancel()
@@ -250,6 +258,38 @@
     async def _change_configuration(self) -> None:
         self._cluster.change_configuration()
 
+    async def _evacuate_now_and_then(self) -> None:
+        """Let the operator evacuate a data centre and take it back, beside the faults."""
+        while True:
+            await asyncio.sleep(self._operator_rng.uniform(0.5, 4.0))
+            self._cluster.evacuate()
+            await asyncio.sleep(self._operator_rng.uniform(0.5, 4.0))
+            self._cluster.take_back()
+
+    async def _check_evacuation(self) -> None:
+        """Check in calm that an evacuation is kept to, and that it ends when it is taken back."""
+        cluster = self._cluster
+        cluster.evacuate()
+        await self._wait_for_evacuated([SPARED])
+        before = [len(worker.started) for worker in cluster.get_spared()]
+        await asyncio.sleep(SPARED_S)
+        if before != [len(worker.started) for worker in cluster.get_spared()]:
+            self._report.broken.append(f"tasks started in {SPARED} while it was evacuated")
+        cluster.take_back()
+        await self._wait_for_evacuated([])
+
+    async def _wait_for_evacuated(self, data_centres: list[str]) -> None:
+        """Wait until every process spares these data centres and no others."""
+        programs = [*self._cluster.entries, *self._cluster.agents]
+        give_up_at = asyncio.get_running_loop().time() + CALM_S
+        laggards = [program.name for program in programs]
+        while laggards and asyncio.get_running_loop().time() < give_up_at:
+            await asyncio.sleep(0.1)
+            states = [(p.name, await self._cluster.get_state(p)) for p in programs]
+            laggards = [n for n, state in states if not state or state["evacuated"] != data_centres]
+        if laggards:
+            self._report.broken.append(f"evacuated {data_centres} is not known to {laggards}")
+
     async def _wait_for_calm(self, when: str) -> None:
         """Wait until every entry has the newest version and a worker that takes tasks."""
         loop = asyncio.get_running_loop()
