Judge a run's pace as of the look that saw its progress

Cause: an agent held a run's progress against its age now, but progress is as old as the last look, and a look waits up to 0.15 s while nothing ends. Three long tasks that began together looked 2.25 times too slow at an age of 0.27 s, above the 2.2 from which owners distrust the worker. All workers stand so right after all power was lost, and owners refused jobs with room only on workers that they distrusted as slow.

Change: the pace counts the age at which the run was listed. A run never listed has none.

Ruled out: a longer least age alone, since the error is the look's wait at any age below a second.

Before: the new test gives 2.25 where 1.0 is true. After: 1.0; the 45 tests of supervision pass.

--- a/dalemast/core/supervision/runs.py
+++ b/dalemast/core/supervision/runs.py
@@ -46,13 +46,28 @@
         """When a run that was never listed has surely ended, since a stop for it was answered."""
         self.percent = 0.0
         self.progressed_at = ordered_at
+        self.listed_at: float | None = None
+        """When a look last listed it, with ``percent``."""
         self.reported_at = 0.0
-        self.was_listed = False
 
-    def get_total_s(self, now: float) -> float:
-        """Return its whole time at its pace so far; without progress, at half a percent."""
-        age_s = now - self.started_at
-        return age_s * 100 / max(self.percent, LEAST_PERCENT)
+    @property
+    def was_listed(self) -> bool:
+        """Whether the worker was ever seen to list it."""
+        return self.listed_at is not None
+
+    @property
+    def seen_s(self) -> float:
+        """How long it had run when it was last listed; 0 if it never was."""
+        return 0.0 if self.listed_at is None else self.listed_at - self.started_at
+
+    def get_total_s(self) -> float:
+        """Return its whole time at its pace so far; without progress, at half a percent.
+
+        Progress counts as of the look that saw it. Counted as of now, a run of 0.12 s looked 2.25
+        times slower when a look waited its whole 0.15 s, and sound workers that began anew
+        together were distrusted.
+        """
+        return self.seen_s * 100 / max(self.percent, LEAST_PERCENT)
 
     def is_stalled(self, now: float) -> bool:
         """Tell whether it has shown no progress for longer than its pace explains."""
@@ -60,12 +75,12 @@
         return now - self.progressed_at > max(STALL_AFTER_S, STALL_PERCENTS * percent_s)
 
 
-def get_mean_pace(runs: Iterable[Run], now: float) -> float:
+def get_mean_pace(runs: Iterable[Run]) -> float:
     """Return the mean pace over the jobs of these runs, or 0 if they are too few to tell."""
     paces: dict[str, float] = {}
     for run in runs:
-        if run.percent > 0 and now - run.started_at >= MIN_AGE_S:
-            pace = run.get_total_s(now) / max(run.request.expected_s, SHORTEST_S)
+        if run.percent > 0 and run.seen_s >= MIN_AGE_S:
+            pace = run.get_total_s() / max(run.request.expected_s, SHORTEST_S)
             job_id = run.request.run_id.job_id
             paces[job_id] = min(pace, paces.get(job_id, pace))
     if len(paces) < MIN_JOBS_FOR_PACE:
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -116,9 +116,9 @@
         life = self._lives.current
         return Resources() if life is None else life.capacity - self._used
 
-    def get_pace(self, *, now: float) -> float:
+    def get_pace(self) -> float:
         """Return the mean pace of the jobs that run, or 0 if they are too few to tell."""
-        return get_mean_pace(self._runs.values(), now)
+        return get_mean_pace(self._runs.values())
 
     def is_accepting(self, *, now: float) -> bool:
         """Tell whether starts are taken."""
@@ -301,7 +301,7 @@
         if run is None:
             self._strays.add(row.run_id)
             return [OrderStop(run_id=row.run_id)]
-        run.was_listed = True
+        run.listed_at = now
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.RUNNING
             run.started_at = now
@@ -315,7 +315,7 @@
         if now - run.reported_at < SLOW_REPEAT_S or age_s < MIN_AGE_S:
             return []
         is_stalled = run.is_stalled(now)
-        total_s = run.get_total_s(now)
+        total_s = run.get_total_s()
         if not is_stalled and total_s < SLOW_FACTOR * run.request.expected_s:
             return []
         run.reported_at = now
@@ -327,7 +327,7 @@
                 run_id=run.request.run_id,
                 age_s=age_s,
                 total_s=total_s,
-                worker_pace=self.get_pace(now=now),
+                worker_pace=self.get_pace(),
                 is_stalled=is_stalled,
             )
         ]
--- a/dalemast/fleet/agent/reports.py
+++ b/dalemast/fleet/agent/reports.py
@@ -116,7 +116,7 @@
                 memory_mb=free.memory_mb,
                 gpu=free.gpu,
                 is_accepting=self._supervisor.is_accepting(now=now),
-                pace=round(self._supervisor.get_pace(now=now), 1),
+                pace=round(self._supervisor.get_pace(), 1),
             )
         )
 
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import testtools
 
 from dalemast.core.scheduling import EndReason
@@ -305,6 +307,20 @@
         reports = pick(self.look(*rows, now=1.2), ReportSlow)
         self.assertEqual({10.0}, {round(report.worker_pace, 6) for report in reports})
 
+    def test_a_pace_is_judged_as_of_the_look_that_saw_the_progress(self) -> None:
+        """Three jobs just under way are at their usual pace, however long no look came since.
+
+        So it stands right after all workers began anew with long tasks: nothing ends meanwhile, so
+        the next look comes only when its longest wait is over.
+        """
+        runs = [self.run_task(make_start(name)) for name in ("a", "b", "c")]
+        for run_id in runs:
+            self.supervisor.runs[run_id].request = replace(
+                self.supervisor.runs[run_id].request, expected_s=2.0
+            )
+        self.look(*(ListedRun(run_id, 6.0) for run_id in runs), now=1.12)
+        self.assertEqual(1.0, round(self.supervisor.get_pace(), 6))
+
     def test_one_job_says_nothing_of_its_worker(self) -> None:
         run_id = self.run_task(make_start())
         (report,) = pick(self.look(ListedRun(run_id, 10.0), now=1.2), ReportSlow)
