--- a/dalemast/bench/policies.py
+++ b/dalemast/bench/policies.py
@@ -17,6 +17,7 @@
 from dalemast.emulator.simulation import FleetShape, Outcome, Simulation
 from dalemast.emulator.traffic import (
     CARD_CIRCUIT,
+    CARD_CIRCUIT_SHIFTED,
     TYRE_SERVICE,
     JobKind,
     declare_truly,
@@ -49,6 +50,12 @@
         speeds=(0.8, 1.0, 1.25),
         sizes=(16000, 16000, 24000),
     ),
+    "shifted": User(
+        kinds=CARD_CIRCUIT_SHIFTED,
+        data_centres=3,
+        speeds=(0.8, 1.0, 1.25),
+        sizes=(16000, 16000, 24000),
+    ),
     "tyres": User(
         kinds=TYRE_SERVICE,
         data_centres=4,
@@ -123,7 +130,7 @@
     order: Annotated[str, cappa.Arg(long=True, help="Dotted path of the order.")] = (
         "dalemast.core.scheduling.PriorityOrder"
     )
-    user: Annotated[str, cappa.Arg(long=True, help="cards or tyres.")] = "cards"
+    user: Annotated[str, cappa.Arg(long=True, help="cards, shifted or tyres.")] = "cards"
     at_once: Annotated[bool, cappa.Arg(long=True, help="Messages take no time.")] = False
     truly: Annotated[bool, cappa.Arg(long=True, help="Callers declare true run times.")] = False
 
--- a/dalemast/emulator/traffic.py
+++ b/dalemast/emulator/traffic.py
@@ -13,7 +13,15 @@
 
 from dalemast.core.workloads import JobRequest, Queue, Resources, StepRequest
 
-__all__ = ["CARD_CIRCUIT", "TYRE_SERVICE", "Arrival", "JobKind", "declare_truly", "generate"]
+__all__ = [
+    "CARD_CIRCUIT",
+    "CARD_CIRCUIT_SHIFTED",
+    "TYRE_SERVICE",
+    "Arrival",
+    "JobKind",
+    "declare_truly",
+    "generate",
+]
 
 SPREAD = 0.4
 """Spread of jobs' run times, of their widths, and of declared times around true ones."""
@@ -45,6 +53,15 @@
 """The third user's: the same rates, widths and times, each task on 3.1 cores."""
 
 
+CARD_CIRCUIT_SHIFTED = (
+    JobKind(name="seat-draw", per_s=14.1, width=8, run_s=0.12, cpu=1500, worth=0.00485, priority=0),
+    JobKind(name="payout-calc", per_s=5.57, width=4, run_s=1.8, cpu=1500, worth=0.0267, priority=2),
+    JobKind(name="chip-check", per_s=41.1, width=2, run_s=0.4, cpu=1500, worth=0.00167, priority=1),
+)
+"""The first user's half a year later: more ladders, which are the longest tasks, and fewer chips.
+Rates are those of the sheet's 65 workers, for 11 of them."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Arrival:
     """A job, when it arrives, and how long each task truly takes on a worker of usual speed."""
