Renew a silent worker's lease no more, and send it nothing

Load answered: a worker that falls silent, or resets every connection, while its data centre is short of room. What it ran can run elsewhere only once its lease has surely lapsed, and everything that may have renewed it meanwhile puts that off.

Cause: after an unanswered look two more looks renewed the lease, and so did every try of every start, while owners went on sending starts until two of them had failed. Jobs on such workers were told after 0.8 to 1.1 s of their age that their runs were lost.

Change: from the first unanswered look on the worker is asked for an answer at once, without a renewal, and takes no starts; it is given up the moment the lease is over, not at the next look. A start joins the lease while half of it is left, in place of renewing it.

Ruled out: a shorter lease (a stall of 0.4 s of an agent would lapse what runs); closing after one unanswered start (with 4 % of the orders unanswered each would close a sound worker for a look).

--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -65,6 +65,7 @@
         self._lives = WorkerLives()
         self._is_draining = False
         self._evacuated: frozenset[str] = frozenset()
+        self._is_silent = False
         self._runs: dict[RunId, Run] = {}
         self._used = Resources()
         """What the runs take together; summing it up anew for each report to each owner took 4 % of
@@ -92,7 +93,7 @@
     @property
     def has_work(self) -> bool:
         """Whether the worker has to be looked at: something runs, or nobody knows yet."""
-        if self._lives.claimant is not None:
+        if self._lives.claimant is not None or self._is_silent:
             return True
         return bool(self._runs or self._strays or not self._has_looked)
 
@@ -124,7 +125,7 @@
         """Tell whether starts are taken."""
         if self.life is None or self.life.is_leaving or self._is_draining:
             return False
-        if self.life.data_centre in self._evacuated:
+        if self._is_silent or self.life.data_centre in self._evacuated:
             return False
         if not self.is_settled:
             return False
@@ -151,6 +152,7 @@
         """
         claimant = self._lives.lose(is_over=is_over)
         self._strays.clear()
+        self._is_silent = False
         actions = [*self._end_all(), ReportRoom()]
         if claimant is not None:
             actions += self._begin_life()
@@ -176,6 +178,11 @@
         self._evacuated = data_centres
         return [ReportRoom()]
 
+    def note_silence(self) -> list[Action]:
+        """Take no starts while the worker leaves looks unanswered: they would be lost with it."""
+        self._is_silent = True
+        return [ReportRoom()]
+
     def start(self, request: StartRequest, *, now: float) -> list[Action]:
         """Take an owner's start, or say that it was not taken."""
         self._heard_at[request.owner] = now
@@ -245,7 +252,8 @@
         now: float,
     ) -> list[Action]:
         """Take in the worker's lists, as they were after ``asked_at``."""
-        was_settled = self.is_settled
+        was_ready = self.is_settled and not self._is_silent
+        self._is_silent = False
         self._lives.confirm(asked_at=asked_at)
         actions: list[Action] = []
         for end in ended:
@@ -256,7 +264,7 @@
             actions += self._see_running(row, now)
         self._strays &= listed
         self._has_looked = True
-        if self.is_settled and not was_settled:
+        if self.is_settled and not was_ready:
             # From now on starts are taken, and owners hear of it by the report alone.
             actions.append(ReportRoom())
         for run in self._runs.values():
@@ -367,6 +375,7 @@
         self._health = WorkerHealth()
         self._strays.clear()
         self._has_looked = False
+        self._is_silent = False
         return [ReportRoom()]
 
     def _end_all(self) -> list[Action]:
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -27,17 +27,18 @@
 __all__ = ["WorkerLoop"]
 
 LOOK_WAIT_S = 0.15
-"""Longest wait of one look. The lease outlasts three looks that stay unanswered."""
+"""Longest wait of one look. The lease outlasts one look that stays unanswered and three that ask
+for an answer at once after it."""
 LOOK_PAUSE_S = 0.02
 """Pause after a look that failed at once."""
 LONGEST_LOOK_PAUSE_S = 0.16
 """The pause doubles with each further one up to this: a worker that resets every connection was
 looked at 500 times a second, and each new connection to a worker is priced. Less than half of what
 a lease leaves, so that a worker that answers again in time loses nothing."""
+LAPSE_SLACK_S = 0.001
+"""How long after the lease's end a silent worker is given up, since timers may fire early."""
 IDLE_PAUSE_S = 0.5
 """Longest sleep while nothing runs; a start wakes the loop."""
-UNANSWERED_LOOKS = 3
-"""Looks without an answer after which leases are renewed no more, so that they surely end."""
 STOP_RETRY_S = 0.15
 """Pause before a stop is said again; a stop takes at most 50 ms."""
 
@@ -133,15 +134,20 @@
 
     async def _look(self) -> None:
         is_waiting = bool(self._supervisor.runs)
+        is_silent = self._unanswered > 0
         try:
+            # Each renewal that may have arrived puts off the moment from which what runs there has
+            # surely ended, and can run elsewhere. So a worker that did not answer is asked for an
+            # answer at once, and leased to no further until it gives one.
             look = await self._driver.look(
-                wait_s=LOOK_WAIT_S if is_waiting else 0.0,
-                renews=self._unanswered < UNANSWERED_LOOKS,
+                wait_s=LOOK_WAIT_S if is_waiting and not is_silent else 0.0,
+                renews=not is_silent,
             )
         except WorkerUnanswered:
             self._unanswered += 1
             self._note_silence()
             await asyncio.sleep(self._get_pause_s())
+            self._give_up_lapsed()
             return
         except WorkerReplaced as error:
             log_event("worker:replaced", reason=str(error))
@@ -163,13 +169,18 @@
         """Return how long to wait before the next look; a single reset in passing costs nothing."""
         if self._unanswered < 2:
             return 0.0
-        return min(LOOK_PAUSE_S * 2 ** (self._unanswered - 2), LONGEST_LOOK_PAUSE_S)
+        pause_s = min(LOOK_PAUSE_S * 2 ** (self._unanswered - 2), LONGEST_LOOK_PAUSE_S)
+        left_s = self._driver.leased_until - time.monotonic()
+        return min(pause_s, left_s + LAPSE_SLACK_S) if left_s > 0 else pause_s
 
     def _note_silence(self) -> None:
-        if self._unanswered < UNANSWERED_LOOKS:
-            return
-        if self._unanswered == UNANSWERED_LOOKS:
+        if self._unanswered == 1:
+            self.apply(self._supervisor.note_silence())
+        elif self._unanswered == 2:
             log_event("worker:silent", runs=len(self._supervisor.runs))
+
+    def _give_up_lapsed(self) -> None:
+        """Give a silent worker up once all that it ran has lapsed, so that it can run elsewhere."""
         if time.monotonic() > self._driver.leased_until:
             self._change_life(lambda: self._supervisor.lose_life(is_over=False))
 
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -46,6 +46,10 @@
 """How much longer than asked for a look may take."""
 ORDER_CONNECTIONS = 4
 """Connections for orders. New ones are priced, and one that is not answered blocks the others."""
+LEAST_LEASE_SHARE = 0.5
+"""Share of a lease that is left enough for a start to join it in place of renewing it. A look
+renews the lease at least each 0.15 s of its 0.6 s; starts that renewed it went on doing so for
+0.3 s after a worker had fallen silent, and its tasks ran elsewhere that much later."""
 FENCE_STEP = 60_000
 """How far a token is raised when the worker has seen a higher one: more than a clock steps."""
 WRONG_LIFE = 421
@@ -72,14 +76,15 @@
         self._fence = int(time.time() * 1000)
         self._headers: dict[str, str] = {}
         self._clock_ahead_s: float | None = None
-        self._leased_until = 0.0
+        self._lease_ends_at = 0.0
+        """When the lease ends by this clock, if the worker's goes as fast."""
         self._ends_seen = 0
         self._was_stop_unanswered = False
 
     @property
     def leased_until(self) -> float:
         """When everything on the worker has surely lapsed, by what was sent so far."""
-        return self._leased_until
+        return self._lease_ends_at + self._lease_s * WORKER_CLOCK_ERROR
 
     def meet(self, life: WorkerLife) -> None:
         """Address all further calls to this life."""
@@ -100,7 +105,7 @@
                 task=_name_task(request.run_id),
                 run=request.run_id.run,
                 payload=request.payload,
-                until_ms=self._renew(),
+                until_ms=self._join_lease(),
                 fence=self._fence,
             )
             try:
@@ -178,11 +183,18 @@
 
     def _renew(self) -> int:
         """Return the end of a lease from now, in milliseconds of the worker's clock."""
-        now = time.monotonic()
-        ahead_s = self._clock_ahead_s or 0.0
-        over_at = now + self._lease_s * (1.0 + WORKER_CLOCK_ERROR)
-        self._leased_until = max(self._leased_until, over_at)
-        return round((now + ahead_s + self._lease_s) * 1000)
+        self._lease_ends_at = time.monotonic() + self._lease_s
+        return self._get_lease_end_ms()
+
+    def _join_lease(self) -> int:
+        """Return the end of the lease, which is renewed if little of it is left."""
+        left_s = self._lease_ends_at - time.monotonic()
+        if left_s < LEAST_LEASE_SHARE * self._lease_s:
+            return self._renew()
+        return self._get_lease_end_ms()
+
+    def _get_lease_end_ms(self) -> int:
+        return round((self._lease_ends_at + (self._clock_ahead_s or 0.0)) * 1000)
 
     def _read_start(self, response: JsonResponse) -> StartOutcome:
         if response.status == WRONG_LIFE:
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -279,6 +279,25 @@
         self.assertIs(EndReason.NOT_TAKEN, report.reason)
 
 
+class SilenceTests(SupervisorTestCase):
+    def test_a_silent_worker_without_runs_is_looked_at_until_it_answers(self) -> None:
+        """Nothing else would ever let it take starts again."""
+        self.supervisor.note_silence()
+        self.assertTrue(self.supervisor.has_work)
+        self.assertEqual([ReportRoom()], self.look(now=1.0))
+        self.assertTrue(self.supervisor.is_accepting(now=1.0))
+        self.assertFalse(self.supervisor.has_work)
+
+    def test_what_runs_is_not_stopped_for_a_silence(self) -> None:
+        self.run_task(make_start())
+        self.assertEqual([ReportRoom()], self.supervisor.note_silence())
+
+    def test_a_start_on_a_silent_worker_is_not_taken(self) -> None:
+        self.supervisor.note_silence()
+        (report,) = pick(self.start(make_start()), ReportEnd)
+        self.assertIs(EndReason.NOT_TAKEN, report.reason)
+
+
 class FirstLookTests(SupervisorTestCase):
     def test_owners_are_told_when_a_new_life_takes_starts(self) -> None:
         """An agent that ticks each 50 ms may never see that starts were not taken in between."""
--- a/tests/fleet/test_looks.py
+++ b/tests/fleet/test_looks.py
@@ -5,9 +5,15 @@
 import asyncio
 from unittest import mock
 
-from dalemast.core.supervision import Supervisor, SupervisorLimits, WorkerLife
-from dalemast.core.workloads import Resources
-from dalemast.fleet.agent.worker import LONGEST_LOOK_PAUSE_S, WorkerLoop
+from dalemast.core.supervision import (
+    RunId,
+    StartRequest,
+    Supervisor,
+    SupervisorLimits,
+    WorkerLife,
+)
+from dalemast.core.workloads import Resources, TaskKey
+from dalemast.fleet.agent.worker import LONGEST_LOOK_PAUSE_S, LOOK_WAIT_S, WorkerLoop
 from dalemast.fleet.base import Look, WorkerUnanswered
 from dalemast.observability import Metrics
 from tests.base import AsyncTestCase
@@ -22,6 +28,8 @@
 
     def __init__(self, *, served: set[int]) -> None:
         self.looks = 0
+        self.asked: list[tuple[float, bool]] = []
+        """Of each look, how long it may wait and whether it renews the lease."""
         self._served = served
 
     def meet(self, life: WorkerLife) -> None:
@@ -30,6 +38,7 @@
     async def look(self, *, wait_s: float, renews: bool) -> Look:
         """Fail without any wait."""
         self.looks += 1
+        self.asked.append((wait_s, renews))
         if self.looks > LOOKS:
             raise asyncio.CancelledError
         if self.looks in self._served:
@@ -37,23 +46,29 @@
         raise WorkerUnanswered("reset")
 
 
+def make_supervisor() -> Supervisor:
+    """Return a supervisor whose worker has reported."""
+    supervisor = Supervisor(limits=SupervisorLimits(owner_patience_s=1.0, stop_s=0.05))
+    supervisor.meet_life(
+        WorkerLife(
+            id="w",
+            service="floor",
+            data_centre="austin",
+            capacity=Resources(cpu=1000),
+            labels=frozenset(),
+            is_leaving=False,
+        ),
+        now=0.0,
+    )
+    return supervisor
+
+
 class LookPauseTests(AsyncTestCase):
     def get_pauses(self, *, served: set[int]) -> list[float]:
         """Return the pauses after looks that failed."""
 
         async def run() -> list[float]:
-            supervisor = Supervisor(limits=SupervisorLimits(owner_patience_s=1.0, stop_s=0.05))
-            supervisor.meet_life(
-                WorkerLife(
-                    id="w",
-                    service="floor",
-                    data_centre="austin",
-                    capacity=Resources(cpu=1000),
-                    labels=frozenset(),
-                    is_leaving=False,
-                ),
-                now=0.0,
-            )
+            supervisor = make_supervisor()
             loop = WorkerLoop(
                 supervisor=supervisor,
                 driver=ResettingWorker(served=served),  # type: ignore[arg-type]
@@ -75,3 +90,70 @@
     def test_a_reset_in_passing_costs_nothing(self) -> None:
         pauses = self.get_pauses(served={1, 3, 5, 7})
         self.assertEqual([0.0] * 4, pauses)
+
+
+class SilentWorkerTests(AsyncTestCase):
+    """A worker that falls silent holds up what it ran until its lease has lapsed."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.supervisor = make_supervisor()
+        self.supervisor.look((), (), asked_at=0.0, now=0.0)
+
+    def make_loop(self, driver: ResettingWorker) -> WorkerLoop:
+        loop = WorkerLoop(
+            supervisor=self.supervisor,
+            driver=driver,  # type: ignore[arg-type]
+            metrics=Metrics(),
+        )
+        loop.set_owners(mock.Mock())
+        return loop
+
+    def look(self, loop: WorkerLoop, times: int) -> None:
+        async def run() -> None:
+            with mock.patch("dalemast.fleet.agent.worker.asyncio.sleep"):
+                for _ in range(times):
+                    await loop._look()
+
+        self.run_async(run())
+
+    def start_run(self) -> None:
+        request = StartRequest(
+            owner="o",
+            run_id=RunId("a", TaskKey(0, 0), 1),
+            payload="",
+            resources=Resources(cpu=100),
+            expected_s=1.0,
+            number=1,
+        )
+        self.supervisor.start(request, now=1.0)
+
+    def test_its_lease_is_renewed_no_more_and_it_is_asked_for_an_answer_at_once(self) -> None:
+        self.start_run()
+        driver = ResettingWorker(served={3})
+        self.look(self.make_loop(driver), times=4)
+        self.assertEqual([(LOOK_WAIT_S, True), (0.0, False), (0.0, False)], driver.asked[:3])
+        self.assertEqual((LOOK_WAIT_S, True), driver.asked[3])
+
+    def test_it_takes_no_starts_until_it_answers(self) -> None:
+        driver = ResettingWorker(served={2})
+        loop = self.make_loop(driver)
+        self.assertTrue(self.supervisor.is_accepting(now=1.0))
+        self.look(loop, times=1)
+        self.assertFalse(self.supervisor.is_accepting(now=1.0))
+        self.look(loop, times=1)
+        self.assertTrue(self.supervisor.is_accepting(now=1.0))
+
+    def test_it_is_given_up_once_its_lease_has_lapsed(self) -> None:
+        driver = ResettingWorker(served=set())
+        driver.leased_until = 0.0
+        self.look(self.make_loop(driver), times=1)
+        self.assertIsNone(self.supervisor.life)
+
+    def test_the_last_pause_ends_with_the_lease(self) -> None:
+        driver = ResettingWorker(served=set())
+        loop = self.make_loop(driver)
+        loop._unanswered = 9
+        with mock.patch("dalemast.fleet.agent.worker.time.monotonic", return_value=5.0):
+            driver.leased_until = 5.05
+            self.assertEqual(0.051, round(loop._get_pause_s(), 6))
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -84,6 +84,21 @@
 
         self.play(scenario)
 
+    def test_a_start_joins_the_lease_while_enough_of_it_is_left(self) -> None:
+        """Renewed by starts, the lease of a worker that has fallen silent would go on."""
+
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            await driver.look(wait_s=0.0, renews=False)
+            await driver.look(wait_s=0.0, renews=True)
+            leased_until = driver.leased_until
+            await driver.start(make_request())
+            self.assertEqual(leased_until, driver.leased_until)
+            driver._lease_ends_at -= LEASE_S
+            await driver.start(make_request(run=2))
+            self.assertGreater(driver.leased_until, leased_until)
+
+        self.play(scenario)
+
     def test_another_life_at_the_address_is_noticed(self) -> None:
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
             driver.meet(make_life("i-gone"))
