Split the scheduler's dispatching, the agent's acceptance, and the entry's agent links

Change, without a change of behaviour: Dispatcher places waiting tasks; Acceptance holds what stands against starts; agent_sessions.py and rows.py hold an agent's link and the frames sent to it; one get_longest_chain serves declared, expected and ended times.

--- /dev/null
+++ b/dalemast/core/scheduling/dispatching.py
@@ -0,0 +1,104 @@
+"""Placing waiting tasks: in the order of service, on workers that suit them, while there is room.
+
+Most calls come under overload, with all workers full, and start nothing; so what can be known to
+find no room is not looked at.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from dalemast.core.scheduling.actions import Action, StartTask
+from dalemast.core.scheduling.base import BaseOrder, BasePlacement
+from dalemast.core.scheduling.choices import ChoiceRound, WorkerChoice
+from dalemast.core.scheduling.estimates import RunTimes
+from dalemast.core.scheduling.jobs import Job, Task
+from dalemast.core.scheduling.wants import RoomWants
+from dalemast.core.scheduling.workers import WorkerView
+
+__all__ = ["Dispatcher"]
+
+
+class Dispatcher:
+    """Starts what waits and says what room is lacked. ``jobs`` are the scheduler's, by id."""
+
+    def __init__(
+        self,
+        *,
+        jobs: Mapping[str, Job],
+        order: BaseOrder,
+        placement: BasePlacement,
+        choice: WorkerChoice,
+        run_times: RunTimes,
+        wants: RoomWants,
+    ) -> None:
+        self._jobs = jobs
+        self._order = order
+        self._placement = placement
+        self._choice = choice
+        self._run_times = run_times
+        self._wants = wants
+        self._least_waiting_cpu = 0
+
+    @property
+    def least_waiting_cpu(self) -> int:
+        """What the smallest waiting task takes; news of less room changes nothing."""
+        return self._least_waiting_cpu
+
+    def dispatch(self, *, now: float) -> list[Action]:
+        """Place waiting tasks while there is room."""
+        waiting = [job for job in self._jobs.values() if job.waiting]
+        self._least_waiting_cpu = 0
+        if not waiting:
+            self._wants.clear()
+            return []
+        choices = self._choice.begin(now=now)
+        waiting.sort(key=lambda job: self._order.get_key(job, now=now))
+        starts = [start for job in waiting for start in self._start_tasks(job, choices, now)]
+        left = (task.step.resources.cpu for job in waiting for task in job.waiting)
+        self._least_waiting_cpu = min(left, default=0)
+        asked = self._wants.update(
+            _get_first_waiting(waiting),
+            choices.get_accepting,
+            started={start.worker for start in starts},
+            now=now,
+        )
+        return [*starts, *asked]
+
+    def _start_tasks(self, job: Job, choices: ChoiceRound, now: float) -> list[StartTask]:
+        service = job.request.queue.service
+        starts = []
+        for task in list(job.waiting):
+            if task.step.resources.cpu > choices.get_most_free(service):
+                break
+            view = choices.choose(job, task)
+            if view is not None:
+                starts.append(self._start(job, task, view, now))
+                choices.note_start(service)
+        return starts
+
+    def _start(self, job: Job, task: Task, view: WorkerView, now: float) -> StartTask:
+        queue = job.request.queue
+        expected_s = self._run_times.expect(queue=queue.name, declared_s=task.step.estimate_s)
+        run_factor = self._placement.get_run_factor(task.step, view)
+        number = view.take(task.step.resources)
+        job.set_placed(
+            task, worker=view.name, now=now, expected_s=expected_s, run_factor=run_factor
+        )
+        return StartTask(
+            worker=view.name,
+            job=job.request,
+            task=task.key,
+            run=task.run,
+            expected_s=expected_s * run_factor,
+            number=number,
+        )
+
+
+def _get_first_waiting(jobs: list[Job]) -> dict[str, Job]:
+    """Return the first job of each service that still waits; ``jobs`` are in order of service."""
+    firsts: dict[str, Job] = {}
+    for job in jobs:
+        if job.waiting:
+            firsts.setdefault(job.request.queue.service, job)
+    return firsts
--- a/dalemast/core/scheduling/estimates.py
+++ b/dalemast/core/scheduling/estimates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dalemast.core.workloads import JobRequest
+
 __all__ = ["RunTimes"]
 
 LEARNING_RATE = 0.05
@@ -26,6 +28,12 @@
         if declared_s > 0:
             self._ratios[queue] = _blend(self._ratios.get(queue), actual_s / declared_s)
 
+    def expect_chain(self, request: JobRequest) -> float:
+        """Return the expected run time of the longest chain of a job's steps, in seconds."""
+        return request.get_longest_chain(
+            lambda _, step: self.expect(queue=request.queue.name, declared_s=step.estimate_s)
+        )
+
     def expect(self, *, queue: str, declared_s: float) -> float:
         """Return the expected run time of a task, in seconds."""
         scaled = max(declared_s, MIN_SECONDS) * self._ratios.get(queue, 1.0)
--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -106,11 +106,10 @@
         Its true run times tell, as on workers of usual speed. Declared ones are off by 40 %: by
         them 216 of 7,067 jobs of a calm minute counted as late, and by the callers' clocks none.
         """
-        ends: list[float] = []
-        for number, step in enumerate(self.request.steps):
-            begin = max((ends[earlier] for earlier in step.after), default=0.0)
-            ends.append(begin + max(self.run_times.get(number, ()), default=step.estimate_s))
-        return self.request.queue.get_objective_s(max(ends, default=0.0))
+        chain_s = self.request.get_longest_chain(
+            lambda number, step: max(self.run_times.get(number, ()), default=step.estimate_s)
+        )
+        return self.request.queue.get_objective_s(chain_s)
 
     def count_phases(self) -> dict[str, int]:
         """Return how many tasks stand in each phase, for whoever asks why a job takes so long."""
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -16,12 +16,12 @@
     EndReason,
     JobFinished,
     JobState,
-    StartTask,
     StopTask,
     Want,
 )
 from dalemast.core.scheduling.base import BaseOrder, BasePlacement
 from dalemast.core.scheduling.choices import WorkerChoice
+from dalemast.core.scheduling.dispatching import Dispatcher
 from dalemast.core.scheduling.estimates import RunTimes
 from dalemast.core.scheduling.hopeless import SeenWorkers
 from dalemast.core.scheduling.jobs import ON_WORKER, START_MARGIN, Job, Task, TaskPhase
@@ -59,17 +59,21 @@
         limits: SchedulerLimits,
         started_at: float,
     ) -> None:
-        self._order = order
         self._limits = limits
         self._run_times = RunTimes()
         self._jobs: dict[str, Job] = {}
-        self._least_waiting_cpu = 0
-        """A report of less room than this changes nothing for the tasks that wait."""
         self._workers: dict[str, WorkerView] = {}
         self._evacuated: frozenset[str] = frozenset()
-        self._placement = placement
         self._choice = WorkerChoice(placement=placement, workers=self._workers)
         self._wants = RoomWants(order=order)
+        self._dispatcher = Dispatcher(
+            jobs=self._jobs,
+            order=order,
+            placement=placement,
+            choice=self._choice,
+            run_times=self._run_times,
+            wants=self._wants,
+        )
         self._seen = SeenWorkers(started_at=started_at)
         self._refusals = Refusals(
             jobs=self._jobs, workers=self._workers, choice=self._choice, started_at=started_at
@@ -105,11 +109,11 @@
 
     def expect_s(self, request: JobRequest) -> float:
         """Return the time in which a job that begins at once is done, with a margin, in seconds."""
-        return (1.0 + START_MARGIN) * self._expect_chain(request)
+        return (1.0 + START_MARGIN) * self._run_times.expect_chain(request)
 
     def submit(self, request: JobRequest, *, now: float) -> list[Action]:
         """Take a job on."""
-        chain_s = self._expect_chain(request)
+        chain_s = self._run_times.expect_chain(request)
         objective_s = request.queue.get_objective_s(chain_s)
         job = Job(request=request, arrived_at=now, objective_s=objective_s, chain_s=chain_s)
         self._jobs[request.id] = job
@@ -150,7 +154,7 @@
             # All owners' runs tell of it, so an owner need not lose tasks there to learn it.
             view.learn_slowness(report.pace, now=now, weight=PACE_WEIGHT)
         actions: list[Action] = []
-        if view.is_accepting and view.free.cpu >= self._least_waiting_cpu:
+        if view.is_accepting and view.free.cpu >= self._dispatcher.least_waiting_cpu:
             actions = self.dispatch(now=now)
         return [*actions, *self._wants.answer_offer(view, actions)]
 
@@ -250,50 +254,7 @@
 
     def dispatch(self, *, now: float) -> list[Action]:
         """Place waiting tasks while there is room."""
-        waiting = [job for job in self._jobs.values() if job.waiting]
-        self._least_waiting_cpu = 0
-        if not waiting:
-            self._wants.clear()
-            return []
-        choices = self._choice.begin(now=now)
-        waiting.sort(key=lambda job: self._order.get_key(job, now=now))
-        actions: list[Action] = []
-        for job in waiting:
-            service = job.request.queue.service
-            for task in list(job.waiting):
-                # Most calls come while all workers are full, and start nothing.
-                if task.step.resources.cpu > choices.get_most_free(service):
-                    break
-                view = choices.choose(job, task)
-                if view is not None:
-                    actions.append(self._start(job, task, view, now))
-                    choices.note_start(service)
-        left = (task.step.resources.cpu for job in waiting for task in job.waiting)
-        self._least_waiting_cpu = min(left, default=0)
-        started = {action.worker for action in actions if isinstance(action, StartTask)}
-        firsts: dict[str, Job] = {}
-        for job in waiting:
-            if job.waiting:
-                firsts.setdefault(job.request.queue.service, job)
-        asked = self._wants.update(firsts, choices.get_accepting, started=started, now=now)
-        return [*actions, *asked]
-
-    def _start(self, job: Job, task: Task, view: WorkerView, now: float) -> StartTask:
-        queue = job.request.queue
-        expected_s = self._run_times.expect(queue=queue.name, declared_s=task.step.estimate_s)
-        run_factor = self._placement.get_run_factor(task.step, view)
-        number = view.take(task.step.resources)
-        job.set_placed(
-            task, worker=view.name, now=now, expected_s=expected_s, run_factor=run_factor
-        )
-        return StartTask(
-            worker=view.name,
-            job=job.request,
-            task=task.key,
-            run=task.run,
-            expected_s=expected_s * run_factor,
-            number=number,
-        )
+        return self._dispatcher.dispatch(now=now)
 
     def _end_well(self, job: Job, task: Task, run_s: float, now: float) -> list[Action]:
         view = self._workers.get(task.worker)
@@ -379,13 +340,3 @@
             for task in job.tasks.values()
             if task.worker == name and task.phase in ON_WORKER
         ]
-
-    def _expect_chain(self, request: JobRequest) -> float:
-        ends: list[float] = []
-        for step in request.steps:
-            begin = max((ends[number] for number in step.after), default=0.0)
-            expected_s = self._run_times.expect(
-                queue=request.queue.name, declared_s=step.estimate_s
-            )
-            ends.append(begin + expected_s)
-        return max(ends, default=0.0)
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from dalemast.core.scheduling.actions import EndReason
+from dalemast.core.supervision.acceptance import Acceptance
 from dalemast.core.supervision.actions import (
     Action,
     OrderStart,
@@ -63,9 +64,7 @@
     def __init__(self, *, limits: SupervisorLimits) -> None:
         self._limits = limits
         self._lives = WorkerLives()
-        self._is_draining = False
-        self._evacuated: frozenset[str] = frozenset()
-        self._is_silent = False
+        self._acceptance = Acceptance()
         self._runs: dict[RunId, Run] = {}
         self._used = Resources()
         """What the runs take together; summing it up anew for each report to each owner took 4 % of
@@ -93,7 +92,7 @@
     @property
     def has_work(self) -> bool:
         """Whether the worker has to be looked at: something runs, or nobody knows yet."""
-        if self._lives.claimant is not None or self._is_silent:
+        if self._lives.claimant is not None or self._acceptance.is_silent:
             return True
         return bool(self._runs or self._strays or not self._has_looked)
 
@@ -123,9 +122,7 @@
 
     def is_accepting(self, *, now: float) -> bool:
         """Tell whether starts are taken."""
-        if self.life is None or self.life.is_leaving or self._is_draining:
-            return False
-        if self._is_silent or self.life.data_centre in self._evacuated:
+        if self.life is None or not self._acceptance.allows(self.life):
             return False
         if not self.is_settled:
             return False
@@ -152,7 +149,7 @@
         """
         claimant = self._lives.lose(is_over=is_over)
         self._strays.clear()
-        self._is_silent = False
+        self._acceptance.is_silent = False
         actions = [*self._end_all(), ReportRoom()]
         if claimant is not None:
             actions += self._begin_life()
@@ -167,20 +164,17 @@
 
     def drain(self) -> list[Action]:
         """Take no more starts."""
-        self._is_draining = True
+        self._acceptance.is_draining = True
         return [ReportRoom()]
 
     def set_evacuated(self, data_centres: frozenset[str]) -> list[Action]:
-        """Take no starts while the worker is in one of these data centres; what runs goes on.
-
-        Owners know too, but one of them may not have heard yet.
-        """
-        self._evacuated = data_centres
+        """Take no starts while the worker is in one of these data centres; what runs goes on."""
+        self._acceptance.evacuated = data_centres
         return [ReportRoom()]
 
     def note_silence(self) -> list[Action]:
-        """Take no starts while the worker leaves looks unanswered: they would be lost with it."""
-        self._is_silent = True
+        """Take no starts until the worker answers a look."""
+        self._acceptance.is_silent = True
         return [ReportRoom()]
 
     def start(self, request: StartRequest, *, now: float) -> list[Action]:
@@ -252,8 +246,8 @@
         now: float,
     ) -> list[Action]:
         """Take in the worker's lists, as they were after ``asked_at``."""
-        was_ready = self.is_settled and not self._is_silent
-        self._is_silent = False
+        was_ready = self.is_settled and not self._acceptance.is_silent
+        self._acceptance.is_silent = False
         self._lives.confirm(asked_at=asked_at)
         actions: list[Action] = []
         for end in ended:
@@ -375,7 +369,7 @@
         self._health = WorkerHealth()
         self._strays.clear()
         self._has_looked = False
-        self._is_silent = False
+        self._acceptance.is_silent = False
         return [ReportRoom()]
 
     def _end_all(self) -> list[Action]:
--- a/dalemast/core/workloads/base.py
+++ b/dalemast/core/workloads/base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -83,8 +84,12 @@
     @property
     def chain_s(self) -> float:
         """The declared run time of the longest chain of steps."""
+        return self.get_longest_chain(lambda _, step: step.estimate_s)
+
+    def get_longest_chain(self, get_run_s: Callable[[int, StepRequest], float]) -> float:
+        """Return the run time of the longest chain of steps, by number and step, in seconds."""
         ends: list[float] = []
-        for step in self.steps:
-            begin = max((ends[number] for number in step.after), default=0.0)
-            ends.append(begin + step.estimate_s)
+        for number, step in enumerate(self.steps):
+            begin = max((ends[earlier] for earlier in step.after), default=0.0)
+            ends.append(begin + get_run_s(number, step))
         return max(ends, default=0.0)
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -15,12 +15,13 @@
     SlowRun,
     StartTask,
     StopTask,
-    Want,
     WorkerView,
 )
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.fleet.base import Member
 from dalemast.fleet.book import AddressBook, to_row
+from dalemast.fleet.entry.agent_sessions import AgentSession
+from dalemast.fleet.entry.rows import make_row, make_starts, make_want
 from dalemast.fleet.evacuations import EvacuationsInForce
 from dalemast.fleet.frames import (
     AgentHello,
@@ -31,12 +32,8 @@
     MemberNews,
     RoomNews,
     RunEnded,
-    RunRow,
     RunSlow,
-    StartRow,
-    Starts,
     Stop,
-    WantRow,
     Wants,
     WorkerNews,
 )
@@ -52,35 +49,6 @@
 Apply = Callable[[list[Action]], None]
 
 
-class AgentSession:
-    """One agent's link, from its hello to its end."""
-
-    def __init__(self, *, link: Link, owner: AgentLinks) -> None:
-        self._link = link
-        self._owner = owner
-        self.hello: AgentHello | None = None
-        self.worker = ""
-        self.runs: tuple[RunRow, ...] = ()
-        """What the agent listed in its hello, until it is compared."""
-        self.is_ending = False
-        self.active_since: float | None = None
-        """Since when the link has carried runs."""
-
-    @property
-    def link(self) -> Link:
-        """The link."""
-        return self._link
-
-    def receive(self, messages: list[AgentMessage]) -> None:
-        """Take in a frame."""
-        for message in messages:
-            self._owner.take(self, message)
-
-    def close(self) -> None:
-        """Note that the link has ended."""
-        self._owner.end_session(self, "closed")
-
-
 class AgentLinks:
     """All agents in reach of this entry."""
 
@@ -119,7 +87,7 @@
         news = self._evacuations.make_news()
         if news is not None:
             link.send(news)
-        return AgentSession(link=link, owner=self)
+        return AgentSession(link=link, links=self)
 
     def tell_members(self, members: Iterable[Member]) -> None:
         """Pass on entries that were learned of."""
@@ -143,15 +111,15 @@
             session = self._by_worker.get(worker)
             if session is not None:
                 self._mark_active(session)
-                session.link.send(_make_starts(group, self._scheduler.get_want(worker)))
+                session.link.send(make_starts(group, self._scheduler.get_want(worker)))
         for stop in stops:
             session = self._by_worker.get(stop.worker)
             if session is not None:
-                session.link.send(Stop(run=_make_row(stop.job_id, stop.task, stop.run)))
+                session.link.send(Stop(run=make_row(stop.job_id, stop.task, stop.run)))
 
     def ask(self, asked: AskRoom) -> None:
         """Tell agents what this entry lacks room for."""
-        message = Wants(want=_make_want(asked.want))
+        message = Wants(want=make_want(asked.want))
         for worker in asked.workers:
             session = self._by_worker.get(worker)
             if session is not None:
@@ -320,37 +288,3 @@
                 is_stalled=news.is_stalled,
             )
         self._apply(actions)
-
-
-def _make_row(job_id: str, task: TaskKey, run: int) -> RunRow:
-    return RunRow(job=job_id, step=task.step, position=task.position, run=run)
-
-
-def _make_want(want: Want | None) -> WantRow | None:
-    if want is None:
-        return None
-    return WantRow(rank=tuple(round(part, 4) for part in want.rank), cpu=want.cpu)
-
-
-def _make_starts(group: list[StartTask], want: Want | None) -> Starts:
-    rows = []
-    for start in group:
-        resources = start.job.steps[start.task.step].resources
-        rows.append(
-            StartRow(
-                step=start.task.step,
-                position=start.task.position,
-                run=start.run,
-                cpu=resources.cpu,
-                memory_mb=resources.memory_mb,
-                gpu=resources.gpu,
-                expected_s=round(start.expected_s, 4),
-                number=start.number,
-            )
-        )
-    return Starts(
-        job=group[0].job.id,
-        payload=group[0].job.payload,
-        tasks=tuple(rows),
-        want=_make_want(want),
-    )
--- /dev/null
+++ b/dalemast/fleet/entry/rows.py
@@ -0,0 +1,46 @@
+"""The scheduler's actions as rows of frames to agents."""
+
+from __future__ import annotations
+
+from dalemast.core.scheduling import StartTask, Want
+from dalemast.core.workloads import TaskKey
+from dalemast.fleet.frames import RunRow, StartRow, Starts, WantRow
+
+__all__ = ["make_row", "make_starts", "make_want"]
+
+
+def make_row(job_id: str, task: TaskKey, run: int) -> RunRow:
+    """Return the row that names one run of a task."""
+    return RunRow(job=job_id, step=task.step, position=task.position, run=run)
+
+
+def make_want(want: Want | None) -> WantRow | None:
+    """Return what an owner lacks room for, to a tenth of a millisecond."""
+    if want is None:
+        return None
+    return WantRow(rank=tuple(round(part, 4) for part in want.rank), cpu=want.cpu)
+
+
+def make_starts(group: list[StartTask], want: Want | None) -> Starts:
+    """Return the message that starts tasks of one job on one worker, with its text once."""
+    rows = []
+    for start in group:
+        resources = start.job.steps[start.task.step].resources
+        rows.append(
+            StartRow(
+                step=start.task.step,
+                position=start.task.position,
+                run=start.run,
+                cpu=resources.cpu,
+                memory_mb=resources.memory_mb,
+                gpu=resources.gpu,
+                expected_s=round(start.expected_s, 4),
+                number=start.number,
+            )
+        )
+    return Starts(
+        job=group[0].job.id,
+        payload=group[0].job.payload,
+        tasks=tuple(rows),
+        want=make_want(want),
+    )
