--- a/dalemast/fleet/timing.py
+++ b/dalemast/fleet/timing.py
@@ -4,7 +4,7 @@
 first entry started must have ended by then, also when that entry or an agent is dead, frozen or cut
 off. The longest chain: the owner's last word, the agent's patience with a silent owner, the lease
 of a worker whose agent fell silent at that very moment, and the time a stop takes.
-docs/topics/fleet-timing.md has the table.
+docs/decisions/0009-fleet.md has the table.
 """
 
 from __future__ import annotations
