Look more often at a worker whose answers get lost

Load answered: high load while workers lose some of their answers, or do late what they were asked.

Cause: a look that got no answer was waited for 0.25 s, and meanwhile no end of a run on that worker was seen.

Change: an unanswered look whose successor is answered at once says that answers get lost; for 3 s looks then wait 0.04 s and get 0.05 s more, in place of 0.15 and 0.1 s. One lost answer among others shows no silence. How a worker is looked at is now a module without input or output, LookSchedule.

Ruled out: short looks always (three times as many calls on every calm worker that runs long tasks); two looks at a time, in turn (twice the work at each end).

--- a/dalemast/core/supervision/__init__.py
+++ b/dalemast/core/supervision/__init__.py
@@ -18,6 +18,7 @@
     WorkerLife,
 )
 from dalemast.core.supervision.health import WorkerHealth
+from dalemast.core.supervision.looks import LookPlan, LookSchedule
 from dalemast.core.supervision.runs import RunPhase
 from dalemast.core.supervision.supervisor import Supervisor, SupervisorLimits
 
@@ -25,6 +26,8 @@
     "Action",
     "EndedRun",
     "ListedRun",
+    "LookPlan",
+    "LookSchedule",
     "OrderStart",
     "OrderStop",
     "ReportEnd",
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -9,6 +9,7 @@
 from dalemast.core.scheduling import EndReason
 from dalemast.core.supervision import (
     Action,
+    LookSchedule,
     OrderStart,
     OrderStop,
     ReportEnd,
@@ -26,17 +27,12 @@
 
 __all__ = ["WorkerLoop"]
 
-LOOK_WAIT_S = 0.15
-"""Longest wait of one look. The lease outlasts one look that stays unanswered and three that ask
-for an answer at once after it."""
-LOOK_PAUSE_S = 0.02
-"""Pause after a look that failed at once."""
-LONGEST_LOOK_PAUSE_S = 0.16
-"""The pause doubles with each further one up to this: a worker that resets every connection was
-looked at 500 times a second, and each new connection to a worker is priced. Less than half of what
-a lease leaves, so that a worker that answers again in time loses nothing."""
-LAPSE_SLACK_S = 0.001
-"""How long after the lease's end a silent worker is given up, since timers may fire early."""
+REFUSED_PAUSE_S = 0.02
+"""Pause after a connection was refused, before it is tried once more."""
+STRAYS_PAUSE_S = 0.02
+"""Pause between looks while nothing of ours runs: something that was told to stop does."""
+SILENT_LOOKS = 2
+"""Looks in a row without an answer that are worth a line in the log."""
 IDLE_PAUSE_S = 0.5
 """Longest sleep while nothing runs; a start wakes the loop."""
 STOP_RETRY_S = 0.15
@@ -56,7 +52,7 @@
         self._wake = asyncio.Event()
         self._orders: set[asyncio.Task[None]] = set()
         self._addressed_life = ""
-        self._unanswered = 0
+        self._looks = LookSchedule()
         self._refused = 0
         self._stopped_at: dict[RunId, float] = {}
 
@@ -134,19 +130,14 @@
 
     async def _look(self) -> None:
         is_waiting = bool(self._supervisor.runs)
-        is_silent = self._unanswered > 0
+        plan = self._looks.plan(has_runs=is_waiting, now=time.monotonic())
         try:
-            # Each renewal that may have arrived puts off the moment from which what runs there has
-            # surely ended, and can run elsewhere. So a worker that did not answer is asked for an
-            # answer at once, and leased to no further until it gives one.
-            look = await self._driver.look(
-                wait_s=LOOK_WAIT_S if is_waiting and not is_silent else 0.0,
-                renews=not is_silent,
-            )
+            look = await self._driver.look(plan)
         except WorkerUnanswered:
-            self._unanswered += 1
+            self._looks.note_unanswered()
             self._note_silence()
-            await asyncio.sleep(self._get_pause_s())
+            lease_left_s = self._driver.leased_until - time.monotonic()
+            await asyncio.sleep(self._looks.get_pause_s(lease_left_s=lease_left_s))
             self._give_up_lapsed()
             return
         except WorkerReplaced as error:
@@ -156,27 +147,18 @@
         except WorkerGone as error:
             await self._note_refused(str(error))
             return
-        self._unanswered = 0
+        now = time.monotonic()
+        self._looks.note_answer(now=now)
         self._refused = 0
-        actions = self._supervisor.look(
-            look.running, look.ended, asked_at=look.asked_at, now=time.monotonic()
-        )
+        actions = self._supervisor.look(look.running, look.ended, asked_at=look.asked_at, now=now)
         self.apply(actions)
         if not is_waiting and self._supervisor.has_work:
-            await asyncio.sleep(LOOK_PAUSE_S)
-
-    def _get_pause_s(self) -> float:
-        """Return how long to wait before the next look; a single reset in passing costs nothing."""
-        if self._unanswered < 2:
-            return 0.0
-        pause_s = min(LOOK_PAUSE_S * 2 ** (self._unanswered - 2), LONGEST_LOOK_PAUSE_S)
-        left_s = self._driver.leased_until - time.monotonic()
-        return min(pause_s, left_s + LAPSE_SLACK_S) if left_s > 0 else pause_s
+            await asyncio.sleep(STRAYS_PAUSE_S)
 
     def _note_silence(self) -> None:
-        if self._unanswered == 1:
+        if self._looks.shows_silence(now=time.monotonic()):
             self.apply(self._supervisor.note_silence())
-        elif self._unanswered == 2:
+        if self._looks.unanswered == SILENT_LOOKS:
             log_event("worker:silent", runs=len(self._supervisor.runs))
 
     def _give_up_lapsed(self) -> None:
@@ -188,7 +170,7 @@
         """A refused connection may be a reset in passing: only two in a row end the life."""
         self._refused += 1
         if self._refused < 2:
-            await asyncio.sleep(LOOK_PAUSE_S)
+            await asyncio.sleep(REFUSED_PAUSE_S)
             return
         log_event("worker:refused", reason=reason)
         self._refused = 0
@@ -215,7 +197,7 @@
             return
         self._addressed_life = life.id
         self._driver.meet(life)
-        self._unanswered = 0
+        self._looks.begin_life()
         self._refused = 0
         log_event("worker:met", worker=life.id, cpu=life.capacity.cpu)
 
--- a/dalemast/fleet/base.py
+++ b/dalemast/fleet/base.py
@@ -9,7 +9,14 @@
 
 from dalemast.core.evacuations import EvacuationChanges
 from dalemast.core.scheduling import JobState
-from dalemast.core.supervision import EndedRun, ListedRun, RunId, StartOutcome, StartRequest
+from dalemast.core.supervision import (
+    EndedRun,
+    ListedRun,
+    LookPlan,
+    RunId,
+    StartOutcome,
+    StartRequest,
+)
 from dalemast.core.supervision.base import WorkerLife
 from dalemast.core.workloads import JobRequest, Queue, QueueTable
 
@@ -200,10 +207,10 @@
         """Order a stop; return whether it was answered."""
 
     @abc.abstractmethod
-    async def look(self, *, wait_s: float, renews: bool) -> Look:
-        """Ask what runs and what ended, and renew the lease unless told otherwise.
+    async def look(self, plan: LookPlan) -> Look:
+        """Ask what runs and what ended, and renew the lease if that is planned.
 
-        Returns after ``wait_s`` or once something ends. Raises :class:`WorkerUnanswered`,
+        Returns after the planned wait or once something ends. Raises :class:`WorkerUnanswered`,
         :class:`WorkerGone` or :class:`WorkerReplaced`.
         """
 
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -11,6 +11,7 @@
 from dalemast.core.supervision import (
     EndedRun,
     ListedRun,
+    LookPlan,
     RunId,
     StartOutcome,
     StartRequest,
@@ -42,8 +43,6 @@
 START_TIMEOUTS_S = (0.04, 0.08, 0.15)
 """A start that stays unanswered is said again, since the worker takes a run only once. The first
 try is short: answers usually come within 2 ms, and the task waits meanwhile."""
-LOOK_SLACK_S = 0.1
-"""How much longer than asked for a look may take."""
 ORDER_CONNECTIONS = 4
 """Connections for orders. New ones are priced, and one that is not answered blocks the others."""
 LEAST_LEASE_SHARE = 0.5
@@ -134,15 +133,15 @@
         self._was_stop_unanswered = False
         return response.status == 200
 
-    async def look(self, *, wait_s: float, renews: bool) -> Look:
+    async def look(self, plan: LookPlan) -> Look:
         """Ask what runs and what ended."""
         asked_at = time.monotonic()
         is_clock_known = self._clock_ahead_s is not None
         call = HoldCall(
             fence=self._fence,
             ends_seen=self._ends_seen,
-            until_ms=self._renew() if renews and is_clock_known else None,
-            wait_ms=round(wait_s * 1000) if wait_s and is_clock_known else None,
+            until_ms=self._renew() if plan.renews and is_clock_known else None,
+            wait_ms=round(plan.wait_s * 1000) if plan.wait_s and is_clock_known else None,
         )
         try:
             response = await self._looks.request(
@@ -150,7 +149,7 @@
                 LOOK_PATH,
                 body=call,
                 headers=self._headers,
-                timeout_s=wait_s + LOOK_SLACK_S,
+                timeout_s=plan.wait_s + plan.slack_s,
             )
         except HttpFailure as failure:
             if failure.is_unreachable:
--- /dev/null
+++ b/tests/core/supervision/test_looks.py
@@ -0,0 +1,100 @@
+"""How long looks wait, and what unanswered ones say of the worker."""
+
+from __future__ import annotations
+
+import testtools
+
+from dalemast.core.supervision import LookSchedule
+from dalemast.core.supervision.looks import (
+    LONGEST_LOOK_PAUSE_S,
+    LOOK_WAIT_S,
+    LOSSY_S,
+    LOSSY_SLACK_S,
+    LOSSY_WAIT_S,
+)
+
+LOST_EVERY = 25
+"""One answer of so many is lost, as on a day of high load with such workers."""
+END_EVERY_S = 0.055
+"""How often a run ends on a full worker of ten tasks that take half a second."""
+PROBE_S = 0.002
+
+
+def replay(schedule: LookSchedule, *, learns: bool) -> float:
+    """Lose one answer in 25 for 20 s of full load; return how late ends were seen in the mean."""
+    now = 0.0
+    seen = 0
+    delays: list[float] = []
+    for number in range(1, 10**6):
+        plan = schedule.plan(has_runs=True, now=now)
+        if number % LOST_EVERY:
+            until_end_s = (seen + 1) * END_EVERY_S - now
+            now += min(max(until_end_s, PROBE_S), max(plan.wait_s, PROBE_S))
+            ended = int(now / END_EVERY_S + 1e-9)
+            delays += [now - end * END_EVERY_S for end in range(seen + 1, ended + 1)]
+            seen = ended
+            schedule.note_answer(now=now) if learns else schedule.begin_life()
+        else:
+            now += plan.wait_s + plan.slack_s
+            schedule.note_unanswered()
+        if now > 20.0:
+            return sum(delays) / len(delays)
+    raise AssertionError("the replay has no end")
+
+
+class LookScheduleTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.schedule = LookSchedule()
+
+    def get_wait_s(self, now: float) -> float:
+        return self.schedule.plan(has_runs=True, now=now).wait_s
+
+    def test_ends_are_seen_sooner_while_answers_get_lost(self) -> None:
+        before_s = replay(LookSchedule(), learns=False)
+        self.assertLess(replay(LookSchedule(), learns=True), 0.5 * before_s)
+
+    def test_one_lost_answer_among_others_shows_no_silence(self) -> None:
+        self.schedule.note_unanswered()
+        self.assertTrue(self.schedule.shows_silence(now=1.0))
+        self.schedule.note_answer(now=1.0)
+        self.schedule.note_unanswered()
+        self.assertFalse(self.schedule.shows_silence(now=1.5))
+        self.schedule.note_unanswered()
+        self.assertTrue(self.schedule.shows_silence(now=1.6))
+
+    def test_a_look_that_is_lost_among_others_is_noticed_soon(self) -> None:
+        self.schedule.note_unanswered()
+        self.schedule.note_answer(now=1.0)
+        plan = self.schedule.plan(has_runs=True, now=1.1)
+        self.assertEqual((LOSSY_WAIT_S, LOSSY_SLACK_S), (plan.wait_s, plan.slack_s))
+        self.assertTrue(plan.renews)
+
+    def test_looks_wait_long_again_once_no_answer_is_lost(self) -> None:
+        self.schedule.note_unanswered()
+        self.schedule.note_answer(now=1.0)
+        self.assertEqual(LOOK_WAIT_S, self.get_wait_s(now=1.0 + LOSSY_S))
+
+    def test_a_worker_that_was_silent_for_longer_is_not_taken_for_a_lossy_one(self) -> None:
+        self.schedule.note_unanswered()
+        self.schedule.note_unanswered()
+        self.schedule.note_answer(now=1.0)
+        self.assertEqual(LOOK_WAIT_S, self.get_wait_s(now=1.0))
+
+    def test_a_silent_worker_is_asked_for_an_answer_at_once(self) -> None:
+        self.schedule.note_unanswered()
+        plan = self.schedule.plan(has_runs=True, now=1.0)
+        self.assertEqual((0.0, False), (plan.wait_s, plan.renews))
+
+    def test_pauses_double_up_to_a_bound(self) -> None:
+        pauses = []
+        for _ in range(7):
+            self.schedule.note_unanswered()
+            pauses.append(self.schedule.get_pause_s(lease_left_s=9.0))
+        self.assertEqual([0.0, 0.02, 0.04, 0.08, 0.16, 0.16, 0.16], pauses)
+        self.assertEqual(LONGEST_LOOK_PAUSE_S, max(pauses))
+
+    def test_the_last_pause_ends_with_the_lease(self) -> None:
+        for _ in range(9):
+            self.schedule.note_unanswered()
+        self.assertEqual(0.051, round(self.schedule.get_pause_s(lease_left_s=0.05), 6))
--- a/tests/fleet/test_looks.py
+++ b/tests/fleet/test_looks.py
@@ -6,14 +6,16 @@
 from unittest import mock
 
 from dalemast.core.supervision import (
+    LookPlan,
     RunId,
     StartRequest,
     Supervisor,
     SupervisorLimits,
     WorkerLife,
 )
+from dalemast.core.supervision.looks import LONGEST_LOOK_PAUSE_S, LOOK_WAIT_S
 from dalemast.core.workloads import Resources, TaskKey
-from dalemast.fleet.agent.worker import LONGEST_LOOK_PAUSE_S, LOOK_WAIT_S, WorkerLoop
+from dalemast.fleet.agent.worker import WorkerLoop
 from dalemast.fleet.base import Look, WorkerUnanswered
 from dalemast.observability import Metrics
 from tests.base import AsyncTestCase
@@ -35,10 +37,10 @@
     def meet(self, life: WorkerLife) -> None:
         """Nothing to note."""
 
-    async def look(self, *, wait_s: float, renews: bool) -> Look:
+    async def look(self, plan: LookPlan) -> Look:
         """Fail without any wait."""
         self.looks += 1
-        self.asked.append((wait_s, renews))
+        self.asked.append((plan.wait_s, plan.renews))
         if self.looks > LOOKS:
             raise asyncio.CancelledError
         if self.looks in self._served:
@@ -149,11 +151,3 @@
         driver.leased_until = 0.0
         self.look(self.make_loop(driver), times=1)
         self.assertIsNone(self.supervisor.life)
-
-    def test_the_last_pause_ends_with_the_lease(self) -> None:
-        driver = ResettingWorker(served=set())
-        loop = self.make_loop(driver)
-        loop._unanswered = 9
-        with mock.patch("dalemast.fleet.agent.worker.time.monotonic", return_value=5.0):
-            driver.leased_until = 5.05
-            self.assertEqual(0.051, round(loop._get_pause_s(), 6))
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 
 from dalemast.core.scheduling import EndReason
-from dalemast.core.supervision import RunId, StartOutcome, StartRequest, WorkerLife
+from dalemast.core.supervision import LookPlan, RunId, StartOutcome, StartRequest, WorkerLife
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.emulator import EmulatedWorker
 from dalemast.fleet.base import WorkerGone, WorkerReplaced, WorkerUnanswered
@@ -30,6 +30,10 @@
     )
 
 
+def plan(*, wait_s: float, renews: bool) -> LookPlan:
+    return LookPlan(wait_s=wait_s, slack_s=0.1, renews=renews)
+
+
 class DriverTests(AsyncTestCase):
     def play(self, scenario) -> None:
         async def run() -> None:
@@ -53,22 +57,22 @@
 
     def test_a_run_is_listed_and_its_end_is_told_once(self) -> None:
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
-            await driver.look(wait_s=0.0, renews=False)
+            await driver.look(plan(wait_s=0.0, renews=False))
             request = make_request(run_s=0.3)
             self.assertIs(StartOutcome.RUNNING, await driver.start(request))
-            look = await driver.look(wait_s=0.0, renews=True)
+            look = await driver.look(plan(wait_s=0.0, renews=True))
             self.assertEqual([request.run_id], [row.run_id for row in look.running])
-            look = await driver.look(wait_s=2.0, renews=True)
+            look = await driver.look(plan(wait_s=2.0, renews=True))
             self.assertEqual(
                 [(request.run_id, EndReason.DONE)], [(e.run_id, e.reason) for e in look.ended]
             )
-            self.assertEqual((), (await driver.look(wait_s=0.0, renews=True)).ended)
+            self.assertEqual((), (await driver.look(plan(wait_s=0.0, renews=True))).ended)
 
         self.play(scenario)
 
     def test_a_used_run_number_is_told(self) -> None:
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
-            await driver.look(wait_s=0.0, renews=False)
+            await driver.look(plan(wait_s=0.0, renews=False))
             request = make_request()
             self.assertTrue(await driver.stop(request.run_id))
             self.assertIs(StartOutcome.RUN_USED, await driver.start(request))
@@ -77,9 +81,9 @@
 
     def test_a_lease_that_is_not_renewed_ends_what_runs(self) -> None:
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
-            await driver.look(wait_s=0.0, renews=False)
+            await driver.look(plan(wait_s=0.0, renews=False))
             await driver.start(make_request(run_s=30.0))
-            look = await driver.look(wait_s=1.9, renews=False)
+            look = await driver.look(plan(wait_s=1.9, renews=False))
             self.assertEqual([EndReason.STOPPED], [end.reason for end in look.ended])
 
         self.play(scenario)
@@ -88,8 +92,8 @@
         """Renewed by starts, the lease of a worker that has fallen silent would go on."""
 
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
-            await driver.look(wait_s=0.0, renews=False)
-            await driver.look(wait_s=0.0, renews=True)
+            await driver.look(plan(wait_s=0.0, renews=False))
+            await driver.look(plan(wait_s=0.0, renews=True))
             leased_until = driver.leased_until
             await driver.start(make_request())
             self.assertEqual(leased_until, driver.leased_until)
@@ -104,7 +108,7 @@
             driver.meet(make_life("i-gone"))
             self.assertIs(StartOutcome.WRONG_LIFE, await driver.start(make_request()))
             with self.assertRaises(WorkerReplaced):
-                await driver.look(wait_s=0.0, renews=True)
+                await driver.look(plan(wait_s=0.0, renews=True))
 
         self.play(scenario)
 
@@ -114,7 +118,7 @@
             self.assertIs(StartOutcome.UNANSWERED, await driver.start(make_request()))
             await worker.crash()
             with self.assertRaises(WorkerGone):
-                await driver.look(wait_s=0.0, renews=True)
+                await driver.look(plan(wait_s=0.0, renews=True))
 
         self.play(scenario)
 
@@ -126,10 +130,10 @@
             )
             later._fence += 1000  # as after a step of the clock
             later.meet(make_life(worker.life_id))
-            await later.look(wait_s=0.0, renews=False)
+            await later.look(plan(wait_s=0.0, renews=False))
             with self.assertRaises(WorkerUnanswered):
-                await driver.look(wait_s=0.0, renews=False)
-            await driver.look(wait_s=0.0, renews=False)
+                await driver.look(plan(wait_s=0.0, renews=False))
+            await driver.look(plan(wait_s=0.0, renews=False))
             self.assertIs(StartOutcome.RUNNING, await driver.start(make_request()))
 
         self.play(scenario)
