--- a/dalemast/core/supervision/looks.py
+++ b/dalemast/core/supervision/looks.py
@@ -20,9 +20,9 @@
 milliseconds, and this process may be slowed."""
 LOSSY_WAIT_S = 0.04
 """The same wait while answers get lost. With 4 % of them lost, and an end each 55 ms, ends were
-seen 16 ms late in the mean, and are seen 4 ms late so (the replay in the tests). A job waits for the
-latest of its tasks: under high load jobs of eight tasks of 0.13 s were seen to run 0.20 s, and a
-tenth of them were late."""
+seen 16 ms late in the mean, and are seen 4 ms late so (the replay in the tests). A job waits for
+the latest of its tasks: under high load jobs of eight tasks of 0.13 s were seen to run 0.20 s, and
+a tenth of them were late."""
 LOSSY_SLACK_S = 0.05
 """The same slack while answers get lost."""
 LOSSY_S = 3.0
