Tell declarations once more as a link is greeted

Cause: an entry told its evacuations, and its configuration's version, as a link opened, and changes after that to greeted links alone. A change while the greeting was on its way was missed there: an agent could believe in an evacuation that was taken back until the next change, and an entry that the store turns away could start tasks where it no longer may.

Change: agents are told when they have greeted, before any start; entries as the link opens and again when the other has greeted.

Before: the new test's links hear nothing of the change. After: both do; the tests of evacuations and of configurations pass.

--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -84,9 +84,6 @@
     def accept(self, link: Link) -> AgentSession:
         """Greet an agent that opened a link."""
         link.send(EntryHello(member=to_row(self._member)))
-        news = self._evacuations.make_news()
-        if news is not None:
-            link.send(news)
         return AgentSession(link=link, links=self)
 
     def tell_members(self, members: Iterable[Member]) -> None:
@@ -190,6 +187,10 @@
         session.hello = hello
         session.runs = hello.runs
         self._sessions[hello.name] = session
+        # Only now, since changes are told to greeted agents; no start goes out before.
+        evacuations = self._evacuations.make_news()
+        if evacuations is not None:
+            session.link.send(evacuations)
         session.link.send(MemberNews(members=tuple(to_row(m) for m in self._book.members)))
         log_event("agent:link", agent=hello.name, runs=len(hello.runs))
 
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -254,12 +254,18 @@
                 jobs=tuple(self._jobs.get_open_ids()),
             )
         )
+        self._tell_declarations(session)
+        return session
+
+    def _tell_declarations(self, session: PeerSession) -> None:
+        """Tell what operators have declared: evacuations, and the configuration's version.
+
+        In this order: with its first configuration a young entry begins to serve callers.
+        """
         evacuations = self._evacuations.make_news()
         if evacuations is not None:
-            # Before the configuration, with which a young entry begins to serve callers.
-            link.send(evacuations)
+            session.link.send(evacuations)
         self._news.greet(session)
-        return session
 
     def _greet(self, session: PeerSession, hello: PeerHello) -> None:
         member = to_member(hello.member)
@@ -269,6 +275,8 @@
         self._claims.take_open_ids(member, hello.jobs)
         if session.is_dialled:
             self._dialled[member.name] = session
+            # Changes since the link opened were told to greeted entries alone.
+            self._tell_declarations(session)
             log_event("peer:link", peer=member.name, peers=len(self._dialled))
             self._claims.move_all()
             return
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from typing import Any
+from unittest import mock
 
 import msgspec
 
 from dalemast.core.evacuations import Evacuations
 from dalemast.fleet.entry import FleetEntryProcess
+from dalemast.fleet.frames import AgentHello, EvacuationNews, MemberRow, PeerHello
 from dalemast.settings import AddressSettings
 from tests.base import AsyncTestCase, wait_until
 from tests.fleet.base import LocalFleet, find_address, make_configuration, make_text, settle
@@ -140,6 +142,30 @@
 
         self.run_async(run())
 
+    def test_a_change_while_a_link_is_opening_is_not_missed(self) -> None:
+        """Changes are told on greeted links alone, and a greeting may be on its way."""
+
+        async def run() -> None:
+            async with make_fleet(entries=2) as fleet:
+                entry = fleet.entries[0]
+                sent: list[Any] = []
+                link = mock.Mock(send=sent.append)
+                agent = entry._agents.accept(link)
+                peer = entry._peers._open(link, is_dialled=True)
+                fleet.store.put("op", "evacuate/waco", {})
+                await wait_for_evacuated([entry], "waco")
+                sent.clear()
+                hello = AgentHello(name="new", incarnation="n", data_centre="waco", runs=())
+                agent.receive([hello])
+                row = MemberRow(name="e9", incarnation="i", address="a:1", data_centre="waco")
+                peer.receive([PeerHello(member=row, jobs=())])
+                told = [news for news in sent if isinstance(news, EvacuationNews)]
+                self.assertEqual([("waco",)] * 2, [news.data_centres for news in told])
+                agent.close()
+                peer.close()
+
+        self.run_async(run())
+
     def test_configurations_go_on_beside_it(self) -> None:
         async def run() -> None:
             async with make_fleet() as fleet:
