--- a/dalemast/core/supervision/actions.py
+++ b/dalemast/core/supervision/actions.py
@@ -38,8 +38,8 @@
 class ReportSlow:
     """Tell an owner that a run crawls or stands still.
 
-    ``total_s`` is its whole run time at its pace so far. ``worker_pace`` is how slow several jobs on
-    this worker show it to be for sure; 0 if there are too few.
+    ``total_s`` is its whole run time at its pace so far. ``worker_pace`` is how slow several
+    jobs on this worker show it to be for sure; 0 if there are too few.
     """
 
     owner: str
