Say when a run is taken as over, and how often a stop is said

Cause: logs could not tell the hypotheses apart: a repeated stop, a stop for a silent owner, a start that took long and a lost run that was freed by time had no line. Change: run:presumed-over, run:ownerless, stop:repeated, start:late, and counters; no decision changed. Ruled out: a line for each renewal of a lease, six a second a worker.

--- a/dalemast/core/scheduling/actions.py
+++ b/dalemast/core/scheduling/actions.py
@@ -15,6 +15,7 @@
     "JobRefused",
     "JobState",
     "RefusalCause",
+    "RunPresumedOver",
     "StartTask",
     "StopTask",
     "Want",
@@ -97,6 +98,20 @@
     run: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunPresumedOver:
+    """Note that a run out of reach counts as ended by now, though nobody has said so.
+
+    ``lost_s`` is for how long it was out of reach.
+    """
+
+    worker: str
+    job_id: str
+    task: TaskKey
+    run: int
+    lost_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobFinished:
     """A job has ended.
@@ -138,4 +153,4 @@
     view_age_s: float
 
 
-Action = StartTask | StopTask | JobFinished | JobRefused | AskRoom
+Action = StartTask | StopTask | RunPresumedOver | JobFinished | JobRefused | AskRoom
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -16,6 +16,7 @@
     EndReason,
     JobFinished,
     JobState,
+    RunPresumedOver,
     StopTask,
     Want,
 )
@@ -245,12 +246,13 @@
 
     def tick(self, *, now: float) -> list[Action]:
         """Free lost runs whose time is over, refuse what waited too long, place the rest."""
-        for job in self._jobs.values():
-            for task in job.tasks.values():
-                if task.phase is TaskPhase.LOST and now >= task.free_at:
-                    job.leave_worker(task)
-                    job.set_waiting(task)
-        return self._refuse_overdue(now) + self.dispatch(now=now)
+        freed = [
+            self._presume_over(job, task, now)
+            for job in self._jobs.values()
+            for task in job.tasks.values()
+            if task.phase is TaskPhase.LOST and now >= task.free_at
+        ]
+        return [*freed, *self._refuse_overdue(now), *self.dispatch(now=now)]
 
     def dispatch(self, *, now: float) -> list[Action]:
         """Place waiting tasks while there is room."""
@@ -303,6 +305,19 @@
         job.leave_worker(task)
         job.set_waiting(task)
 
+    def _presume_over(self, job: Job, task: Task, now: float) -> RunPresumedOver:
+        """Let a lost run's task wait for a worker again."""
+        over = RunPresumedOver(
+            worker=task.worker,
+            job_id=job.request.id,
+            task=task.key,
+            run=task.run,
+            lost_s=now - (task.free_at - self._limits.lost_run_s),
+        )
+        job.leave_worker(task)
+        job.set_waiting(task)
+        return over
+
     def _refuse_overdue(self, now: float) -> list[Action]:
         refused = self._refusals.find_due(now=now)
         for refusal in refused:
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -22,6 +22,7 @@
     WorkerLife,
 )
 from dalemast.fleet.agent.owners import OwnerLinks
+from dalemast.fleet.agent.stops import STOP_RETRY_S, StopBook
 from dalemast.fleet.base import BaseWorkerDriver, WorkerGone, WorkerReplaced, WorkerUnanswered
 from dalemast.observability import Metrics, log_event
 
@@ -35,8 +36,9 @@
 """Looks in a row without an answer that are worth a line in the log."""
 IDLE_PAUSE_S = 0.5
 """Longest sleep while nothing runs; a start wakes the loop."""
-STOP_RETRY_S = 0.15
-"""Pause before a stop is said again; a stop takes at most 50 ms."""
+LATE_START_S = 0.1
+"""A start that took longer has a line in the log: a worker answers within some milliseconds, and
+the try that was carried out was a further one, or this process stood still before it."""
 
 
 class WorkerLoop:
@@ -54,7 +56,7 @@
         self._addressed_life = ""
         self._looks = LookSchedule()
         self._refused = 0
-        self._stopped_at: dict[RunId, float] = {}
+        self._stops = StopBook()
 
     def set_owners(self, owners: OwnerLinks) -> None:
         """Take who is told of ends and room."""
@@ -112,7 +114,9 @@
 
     def tick(self, now: float) -> None:
         """Stop the runs of silent owners, and say stops again that had no effect."""
-        self.apply(self._supervisor.tick(now=now))
+        actions = self._supervisor.tick(now=now)
+        self._log_owner_silence(actions, now)
+        self.apply(actions)
         for run_id in self._supervisor.get_unstopped(now=now, older_than_s=STOP_RETRY_S):
             self._order_stop_once(run_id)
 
@@ -206,26 +210,56 @@
         outcome = await self._driver.start(request)
         now = time.monotonic()
         self._metrics.record("start-order", "", now - began)
-        if outcome is not StartOutcome.RUNNING:
-            self._metrics.count(f"orders.{outcome.value}")
-            log_event(
-                "start:not-running",
-                job=request.run_id.job_id,
-                position=request.run_id.task.position,
-                run=request.run_id.run,
-                outcome=outcome.value,
-                took_s=round(now - began, 3),
-            )
+        self._log_start(request.run_id, outcome, took_s=now - began)
         actions = self._supervisor.take_outcome(
             request.run_id, outcome, now=now, expires_at=self._driver.leased_until
         )
         self.apply(actions)
 
+    def _log_start(self, run_id: RunId, outcome: StartOutcome, *, took_s: float) -> None:
+        is_running = outcome is StartOutcome.RUNNING
+        if not is_running:
+            self._metrics.count(f"orders.{outcome.value}")
+        if is_running and took_s < LATE_START_S:
+            return
+        log_event(
+            "start:late" if is_running else "start:not-running",
+            job=run_id.job_id,
+            position=run_id.task.position,
+            run=run_id.run,
+            outcome=outcome.value,
+            took_s=round(took_s, 3),
+        )
+
+    def _log_owner_silence(self, actions: list[Action], now: float) -> None:
+        """Tell which runs are stopped since their owner has been silent for too long."""
+        for action in actions:
+            if isinstance(action, OrderStop):
+                self._metrics.count("runs.ownerless")
+                log_event(
+                    "run:ownerless",
+                    job=action.run_id.job_id,
+                    position=action.run_id.task.position,
+                    run=action.run_id.run,
+                    lease_left_s=round(self._driver.leased_until - now, 3),
+                )
+
     def _order_stop_once(self, run_id: RunId) -> None:
         now = time.monotonic()
-        if now - self._stopped_at.get(run_id, 0.0) < STOP_RETRY_S:
+        said = self._stops.say(run_id, now=now)
+        if said is None:
             return
-        self._stopped_at[run_id] = now
+        if said.tries > 1:
+            self._metrics.count("stops.repeated")
+            log_event(
+                "stop:repeated",
+                job=run_id.job_id,
+                position=run_id.task.position,
+                run=run_id.run,
+                tries=said.tries,
+                since_s=round(now - said.first_at, 3),
+                lease_left_s=round(self._driver.leased_until - now, 3),
+            )
         self._spawn(self._order_stop(run_id))
 
     async def _order_stop(self, run_id: RunId) -> None:
@@ -233,9 +267,10 @@
         if is_answered:
             self.apply(self._supervisor.take_stop_answer(run_id, now=time.monotonic()))
         if run_id not in self._supervisor.runs:
-            self._stopped_at.pop(run_id, None)
+            self._stops.forget(run_id)
 
     def _count_end(self, report: ReportEnd) -> None:
+        self._stops.forget(report.run_id)
         self._metrics.count(f"runs.{report.reason.value}")
         if report.reason is EndReason.DONE:
             self._metrics.record("run", "", report.run_s)
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -14,6 +14,7 @@
     JobFinished,
     JobRefused,
     JobState,
+    RunPresumedOver,
     Scheduler,
     StartTask,
     StopTask,
@@ -151,6 +152,8 @@
                 self._refuse(action)
             elif isinstance(action, AskRoom):
                 self._ask(action)
+            elif isinstance(action, RunPresumedOver):
+                self._note_presumed_over(action)
 
     def note_end(self, news: RunEnded) -> None:
         """Note that a run has ended; the last one of an ended job frees its id."""
@@ -290,6 +293,18 @@
             outcome = JobTurnedAway(cause=action.cause.value, retry_after_s=action.retry_after_s)
             job.resolve(outcome)
 
+    def _note_presumed_over(self, action: RunPresumedOver) -> None:
+        self._metrics.count("runs.presumed-over")
+        log_event(
+            "run:presumed-over",
+            job=action.job_id,
+            step=action.task.step,
+            position=action.task.position,
+            run=action.run,
+            worker=action.worker,
+            lost_s=round(action.lost_s, 3),
+        )
+
     def _end(self, job_id: str, stops: int) -> None:
         """Free a job's id, once its stops are confirmed."""
         if stops:
