--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -213,6 +213,15 @@
         self.assertEqual([], self.supervisor.get_unstopped(now=1.05, older_than_s=0.15))
         self.assertEqual([run_id], self.supervisor.get_unstopped(now=1.3, older_than_s=0.15))
 
+    def test_a_stop_is_said_again_though_the_run_makes_progress(self) -> None:
+        """A stop that gets lost says nothing of the run's progress, which went on for a second."""
+        run_id = self.run_task(make_start())
+        self.supervisor.stop(run_id)
+        for number in range(8):
+            now = 1.1 + 0.1 * number
+            self.look(ListedRun(run_id, 2.0 + number), now=now)
+        self.assertEqual([run_id], self.supervisor.get_unstopped(now=now, older_than_s=0.15))
+
 
 class LifeTests(SupervisorTestCase):
     def test_a_new_life_ends_all_runs(self) -> None:
