Renew a worker's lease no further than its runs' owners keep them alive

Cause: the bound on a run whose owner is out of reach rested on a stop being carried out. A stop that got no answer was said again by the age of the run's progress, hence hardly ever for a long run, while each look renewed the lease of all that ran there. A start that was under way as the agent stood still was said again with a lease from the present, however old its owner's word was by then. Change: each run has a time until which its owner keeps it alive, no longer once it is told to stop. The lease is renewed and starts are said up to that time plus the lease; an unknown run bars renewals. Stops are repeated by when they were said. A start is refused that is older than the patience, and one whose name belongs to a run that is still ending. Found on the way, each with a test: a run told to stop before its start was answered counted as over after 0.25 s though it could begin until 0.6 s; a try that found no room, after one without an answer, was told as never started; the worker's clock was taken as last read, 0.6 s off for one idle for 30 s and 2 % slow (idle workers are looked at each 2 s). Ruled out: stops that are merely repeated faster (any number of them can get lost); the clock of heartbeats, which another writer may send.

--- a/dalemast/core/supervision/__init__.py
+++ b/dalemast/core/supervision/__init__.py
@@ -18,6 +18,7 @@
     WorkerLife,
 )
 from dalemast.core.supervision.health import WorkerHealth
+from dalemast.core.supervision.leases import WorkerLease
 from dalemast.core.supervision.looks import LookPlan, LookSchedule
 from dalemast.core.supervision.runs import RunPhase
 from dalemast.core.supervision.supervisor import Supervisor, SupervisorLimits
@@ -41,6 +42,7 @@
     "Supervisor",
     "SupervisorLimits",
     "WorkerHealth",
+    "WorkerLease",
     "WorkerLife",
     "find_neediest",
     "get_room_pause",
--- a/dalemast/core/supervision/base.py
+++ b/dalemast/core/supervision/base.py
@@ -40,7 +40,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartRequest:
-    """An owner's wish to start a task. ``number`` counts that owner's starts on this link."""
+    """An owner's wish to start a task. ``number`` counts that owner's starts on this link.
+
+    ``said_at`` is when the owner said so at the earliest, by the agent's steady clock in seconds.
+    """
 
     owner: str
     run_id: RunId
@@ -48,6 +51,11 @@
     resources: Resources
     expected_s: float
     number: int
+    said_at: float
+
+    def is_same(self, other: StartRequest) -> bool:
+        """Tell whether both are one wish of one owner, and not those of two submissions."""
+        return (self.owner, self.number) == (other.owner, other.number)
 
 
 class StartOutcome(enum.Enum):
--- a/dalemast/core/supervision/runs.py
+++ b/dalemast/core/supervision/runs.py
@@ -47,6 +47,11 @@
         self.started_at = ordered_at
         self.expires_at: float | None = None
         """When an unanswered order can no longer be carried out."""
+        self.is_order_open = True
+        """Whether the order's outcome is not known yet: a further try may be under way."""
+        self.kept_until: float | None = None
+        """Until when its owner kept it alive, once it was told to stop."""
+        self.stopping_since: float | None = None
         self.barred_at: float | None = None
         """When a run that was never listed has surely ended, since a stop for it was answered."""
         self.percent = 0.0
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -3,6 +3,10 @@
 It is the only caller of its worker, hence the one place where room is kept. Room counts as taken
 from the moment an order is given until the worker lists the run's end, or until the order's lease
 has ended on the worker's clock without the run being listed.
+
+A run is kept alive by its owner's words, each for as long as the agent's patience. The worker's
+lease follows the run whose owner has been silent for longest, so that a run ends by itself even if
+every stop gets lost.
 """
 
 from __future__ import annotations
@@ -29,6 +33,7 @@
     WorkerLife,
 )
 from dalemast.core.supervision.health import WorkerHealth
+from dalemast.core.supervision.leases import LEAST_LEASE_SHARE
 from dalemast.core.supervision.lives import WorkerLives
 from dalemast.core.supervision.runs import MIN_AGE_S, Run, RunPhase, get_sure_pace
 from dalemast.core.workloads import Resources
@@ -51,10 +56,12 @@
 class SupervisorLimits:
     """``owner_patience_s``: an owner's runs are stopped when it is silent for longer.
 
-    ``stop_s`` is the longest time that a stop takes on the worker.
+    ``lease_s`` is how long the worker runs on after its agent's last word, and ``stop_s`` the
+    longest time that a stop takes on it.
     """
 
     owner_patience_s: float
+    lease_s: float
     stop_s: float
 
 
@@ -71,7 +78,8 @@
         an agent's processor time."""
         self._strays: set[RunId] = set()
         self._health = WorkerHealth()
-        self._heard_at: dict[str, float] = {}
+        self._kept_until: dict[str, float] = {}
+        """By owner, until when its latest word keeps its runs alive."""
         self._has_looked = False
 
     @property
@@ -126,8 +134,28 @@
             return False
         if not self.is_settled:
             return False
+        if self.get_lease_limit() - now < LEAST_LEASE_SHARE * self._limits.lease_s:
+            # Something can't be stopped, so all that runs there may soon end with the lease.
+            return False
         return self._health.may_start(running=len(self._runs), now=now)
 
+    def get_lease_limit(self) -> float:
+        """Return until when the worker may be told to run on; minus infinity is not at all.
+
+        What this life of the agent does not know may have an owner that counts it as over.
+        """
+        if not self.is_settled:
+            return float("-inf")
+        kept = (self._get_kept_until(run) for run in self._runs.values())
+        return min(kept, default=float("inf")) + self._limits.lease_s
+
+    def get_order_limit(self, run_id: RunId) -> float:
+        """Return the same for a start; minus infinity once the run is not wanted any more."""
+        run = self._runs.get(run_id)
+        if run is None or run.phase is not RunPhase.ORDERED:
+            return float("-inf")
+        return self.get_lease_limit()
+
     def meet_life(self, life: WorkerLife, *, now: float) -> list[Action]:
         """Take in a worker's account of itself. With a new life, all that ran is over.
 
@@ -179,9 +207,14 @@
 
     def start(self, request: StartRequest, *, now: float) -> list[Action]:
         """Take an owner's start, or say that it was not taken."""
-        self._heard_at[request.owner] = now
-        if request.run_id in self._runs:
+        known = self._runs.get(request.run_id)
+        if known is not None and known.request.is_same(request):
             return []
+        is_late = now - request.said_at > self._limits.owner_patience_s
+        if known is not None or is_late:
+            # A run of this name is one of the job's earlier submission, which is about to end.
+            return [self._refuse(request, EndReason.NOT_TAKEN), ReportRoom()]
+        self.hear(request.owner, said_at=request.said_at)
         if not self.is_accepting(now=now):
             return [self._refuse(request, EndReason.NOT_TAKEN), ReportRoom()]
         if not request.resources.fits(self.get_free()):
@@ -195,7 +228,13 @@
     ) -> list[Action]:
         """Take in what became of an order. ``expires_at`` is when it can no longer be done."""
         run = self._runs.get(run_id)
-        if run is None or run.phase is not RunPhase.ORDERED:
+        if run is None or not run.is_order_open:
+            return []
+        run.is_order_open = False
+        if run.phase is not RunPhase.ORDERED:
+            if run.phase is RunPhase.STOPPING and outcome is StartOutcome.UNANSWERED:
+                # It may begin yet, however long ago it was told to stop.
+                run.expires_at = expires_at
             return []
         if outcome is StartOutcome.RUNNING:
             run.phase = RunPhase.RUNNING
@@ -204,7 +243,7 @@
             return []
         if outcome is StartOutcome.UNANSWERED:
             self._health.note_failed(run_id.job_id, now=now)
-            run.phase = RunPhase.STOPPING
+            self._begin_stop(run, now)
             run.expires_at = expires_at
             return [OrderStop(run_id=run_id), ReportRoom()]
         if outcome in (StartOutcome.REJECTED, StartOutcome.WRONG_LIFE, StartOutcome.FENCED):
@@ -213,18 +252,17 @@
         if outcome is StartOutcome.RUN_USED:
             # An earlier try of this order may have been carried out unanswered, and its run may
             # have ended since: the next look tells how, if it did.
-            run.phase = RunPhase.STOPPING
+            self._begin_stop(run, now)
             run.expires_at = now
             return []
         return self._end(run, EndReason.NO_ROOM, now)
 
-    def stop(self, run_id: RunId) -> list[Action]:
+    def stop(self, run_id: RunId, *, now: float) -> list[Action]:
         """Stop a run at its owner's wish."""
         run = self._runs.get(run_id)
         if run is None or run.phase is RunPhase.STOPPING:
             return []
-        run.phase = RunPhase.STOPPING
-        return [OrderStop(run_id=run_id)]
+        return [self._begin_stop(run, now)]
 
     def take_stop_answer(self, run_id: RunId, *, now: float) -> list[Action]:
         """Note that the worker answered a stop.
@@ -269,9 +307,10 @@
                 actions += self._see_missing(run, asked_at, now)
         return actions
 
-    def hear(self, owner: str, *, now: float) -> None:
-        """Note that an owner is alive."""
-        self._heard_at[owner] = now
+    def hear(self, owner: str, *, said_at: float) -> None:
+        """Note that an owner keeps its runs alive, but for those that were told to stop."""
+        kept_until = said_at + self._limits.owner_patience_s
+        self._kept_until[owner] = max(kept_until, self._kept_until.get(owner, kept_until))
 
     def get_owner_runs(self, owner: str) -> list[RunId]:
         """Return the runs of one owner."""
@@ -283,11 +322,9 @@
         for run in list(self._runs.values()):
             if run.barred_at is not None and now >= run.barred_at and not run.was_listed:
                 actions += self._end(run, EndReason.STOPPED, now)
-        for run_id, run in self._runs.items():
-            silent_s = now - self._heard_at.get(run.request.owner, 0.0)
-            if silent_s > self._limits.owner_patience_s and run.phase is not RunPhase.STOPPING:
-                run.phase = RunPhase.STOPPING
-                actions.append(OrderStop(run_id=run_id))
+        for run in self._runs.values():
+            if run.phase is not RunPhase.STOPPING and now > self._get_kept_until(run):
+                actions.append(self._begin_stop(run, now))
         return actions
 
     def get_unstopped(self, *, now: float, older_than_s: float) -> list[RunId]:
@@ -295,9 +332,22 @@
         return [
             run_id
             for run_id, run in self._runs.items()
-            if run.phase is RunPhase.STOPPING and now - run.progressed_at > older_than_s
+            if run.stopping_since is not None and now - run.stopping_since > older_than_s
         ]
 
+    def _get_kept_until(self, run: Run) -> float:
+        """Return until when a run's owner keeps it alive."""
+        if run.kept_until is not None:
+            return run.kept_until
+        return self._kept_until.get(run.request.owner, float("-inf"))
+
+    def _begin_stop(self, run: Run, now: float) -> OrderStop:
+        """Tell a run to stop. From now on its owner's words keep it alive no longer."""
+        run.kept_until = self._get_kept_until(run)
+        run.phase = RunPhase.STOPPING
+        run.stopping_since = now
+        return OrderStop(run_id=run.request.run_id)
+
     def _see_running(self, row: ListedRun, now: float) -> list[Action]:
         run = self._runs.get(row.run_id)
         if run is None:
@@ -337,7 +387,7 @@
     def _see_missing(self, run: Run, asked_at: float, now: float) -> list[Action]:
         if run.expires_at is not None:
             return self._end(run, EndReason.STOPPED, now) if asked_at > run.expires_at else []
-        if run.phase is RunPhase.ORDERED or asked_at - run.started_at < GONE_AFTER_S:
+        if run.is_order_open or asked_at - run.started_at < GONE_AFTER_S:
             return []
         return self._end(run, EndReason.STOPPED, now)
 
--- a/dalemast/emulator/simulation.py
+++ b/dalemast/emulator/simulation.py
@@ -54,6 +54,8 @@
 """Time of a message that takes none; above zero, so that an answer follows its question."""
 TICK_S = 0.05
 """The grain of owners' and agents' time-outs."""
+SIMULATED_LIMITS = SupervisorLimits(owner_patience_s=1e9, lease_s=0.6, stop_s=0.05)
+"""No owner is ever out of reach, so none falls silent."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -207,7 +209,7 @@
         """By run that goes on, when it began and how long it takes, in seconds."""
         self._is_report_planned = False
         self._ends = itertools.count(1)
-        self._supervisor = Supervisor(limits=SupervisorLimits(owner_patience_s=1e9, stop_s=0.05))
+        self._supervisor = Supervisor(limits=SIMULATED_LIMITS)
 
     def connect(self) -> None:
         """Meet the worker and tell the owners."""
@@ -253,6 +255,7 @@
             resources=start.job.steps[start.task.step].resources,
             expected_s=start.expected_s,
             number=start.number,
+            said_at=self._simulation.now,
         )
         self._apply(self._supervisor.start(request, now=self._simulation.now))
 
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -107,7 +107,7 @@
         if not session.link.is_open:
             return
         if session.member is not None:
-            self._supervisor.hear(session.owner, now=time.monotonic())
+            self._supervisor.hear(session.owner, said_at=time.monotonic())
         for message in messages:
             self._take(session, message)
 
@@ -214,7 +214,7 @@
         session.member = to_member(hello.member)
         session.is_near = session.member.data_centre == self._data_centre
         self._sessions[session.owner] = session
-        self._supervisor.hear(session.owner, now=time.monotonic())
+        self._supervisor.hear(session.owner, said_at=time.monotonic())
         self._book.learn([session.member])
         runs = tuple(_make_row(r) for r in self._supervisor.get_owner_runs(session.owner))
         session.link.send(
@@ -240,6 +240,7 @@
                     resources=Resources(cpu=row.cpu, memory_mb=row.memory_mb, gpu=row.gpu),
                     expected_s=row.expected_s,
                     number=row.number,
+                    said_at=time.monotonic(),
                 )
             )
 
--- a/dalemast/fleet/agent/process.py
+++ b/dalemast/fleet/agent/process.py
@@ -36,7 +36,9 @@
     def __init__(self, *, settings: FleetAgentSettings) -> None:
         super().__init__(settings=settings, book=AddressBook())
         limits = SupervisorLimits(
-            owner_patience_s=self._times.owner_patience_s, stop_s=self._times.stop_s
+            owner_patience_s=self._times.owner_patience_s,
+            lease_s=self._times.lease_s,
+            stop_s=self._times.stop_s,
         )
         self._supervisor = Supervisor(limits=limits)
         driver: BaseWorkerDriver = load_backend(
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -36,6 +36,9 @@
 """Looks in a row without an answer that are worth a line in the log."""
 IDLE_PAUSE_S = 0.5
 """Longest sleep while nothing runs; a start wakes the loop."""
+IDLE_LOOK_S = 2.0
+"""Pause between looks while nothing runs. They follow the worker's clock: a lease is shorter by 2 %
+of the time since it was read last, 0.04 s at the most so."""
 LATE_START_S = 0.1
 """A start that took longer has a line in the log: a worker answers within some milliseconds, and
 the try that was carried out was a further one, or this process stood still before it."""
@@ -56,6 +59,7 @@
         self._addressed_life = ""
         self._looks = LookSchedule()
         self._refused = 0
+        self._looked_at = float("-inf")
         self._stops = StopBook()
 
     def set_owners(self, owners: OwnerLinks) -> None:
@@ -88,7 +92,7 @@
 
     def stop(self, run_id: RunId) -> None:
         """Take an owner's stop."""
-        self.apply(self._supervisor.stop(run_id))
+        self.apply(self._supervisor.stop(run_id, now=time.monotonic()))
 
     def apply(self, actions: list[Action]) -> None:
         """Carry out what the supervisor decided."""
@@ -123,7 +127,7 @@
     async def run(self) -> None:
         """Look at the worker for as long as there is something to see."""
         while True:
-            if not self._supervisor.has_work or self._supervisor.life is None:
+            if not self._is_look_due():
                 self._wake.clear()
                 try:
                     await asyncio.wait_for(self._wake.wait(), IDLE_PAUSE_S)
@@ -132,11 +136,17 @@
                 continue
             await self._look()
 
+    def _is_look_due(self) -> bool:
+        if self._supervisor.life is None:
+            return False
+        return self._supervisor.has_work or time.monotonic() - self._looked_at > IDLE_LOOK_S
+
     async def _look(self) -> None:
         is_waiting = bool(self._supervisor.runs)
-        plan = self._looks.plan(has_runs=is_waiting, now=time.monotonic())
+        self._looked_at = time.monotonic()
+        plan = self._looks.plan(has_runs=is_waiting, now=self._looked_at)
         try:
-            look = await self._driver.look(plan)
+            look = await self._driver.look(plan, limit=self._supervisor.get_lease_limit())
         except WorkerUnanswered:
             self._looks.note_unanswered()
             self._note_silence()
@@ -207,7 +217,9 @@
 
     async def _order_start(self, request: StartRequest) -> None:
         began = time.monotonic()
-        outcome = await self._driver.start(request)
+        outcome = await self._driver.start(
+            request, get_limit=lambda: self._supervisor.get_order_limit(request.run_id)
+        )
         now = time.monotonic()
         self._metrics.record("start-order", "", now - began)
         self._log_start(request.run_id, outcome, took_s=now - began)
--- a/dalemast/fleet/base.py
+++ b/dalemast/fleet/base.py
@@ -199,17 +199,22 @@
         """Address all further calls to this life."""
 
     @abc.abstractmethod
-    async def start(self, request: StartRequest) -> StartOutcome:
-        """Order a start, trying again while it stays unanswered."""
+    async def start(self, request: StartRequest, *, get_limit: Callable[[], float]) -> StartOutcome:
+        """Order a start, trying again while it stays unanswered.
+
+        ``get_limit`` tells before each try until when, by the agent's steady clock, the worker may
+        be told to run on; in the past it says that the start is not wanted any more.
+        """
 
     @abc.abstractmethod
     async def stop(self, run_id: RunId) -> bool:
         """Order a stop; return whether it was answered."""
 
     @abc.abstractmethod
-    async def look(self, plan: LookPlan) -> Look:
+    async def look(self, plan: LookPlan, *, limit: float) -> Look:
         """Ask what runs and what ended, and renew the lease if that is planned.
 
+        ``limit`` is until when the worker may be told to run on, by the agent's steady clock.
         Returns after the planned wait or once something ends. Raises :class:`WorkerUnanswered`,
         :class:`WorkerGone` or :class:`WorkerReplaced`.
         """
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
+from dalemast.core.clocks import LeastLead
 from dalemast.core.scheduling import EndReason
 from dalemast.core.supervision import (
     EndedRun,
@@ -15,6 +17,7 @@
     RunId,
     StartOutcome,
     StartRequest,
+    WorkerLease,
     WorkerLife,
 )
 from dalemast.core.workloads import TaskKey
@@ -45,10 +48,6 @@
 try is short: answers usually come within 2 ms, and the task waits meanwhile."""
 ORDER_CONNECTIONS = 4
 """Connections for orders. New ones are priced, and one that is not answered blocks the others."""
-LEAST_LEASE_SHARE = 0.5
-"""Share of a lease that is left enough for a start to join it in place of renewing it. A look
-renews the lease at least each 0.15 s of its 0.6 s; starts that renewed it went on doing so for
-0.3 s after a worker had fallen silent, and its tasks ran elsewhere that much later."""
 FENCE_STEP = 60_000
 """How far a token is raised when the worker has seen a higher one: more than a clock steps."""
 WRONG_LIFE = 421
@@ -58,6 +57,9 @@
     "late": StartOutcome.EXPIRED,
     "fence": StartOutcome.FENCED,
 }
+UNSURE_AFTER_SILENCE = frozenset({StartOutcome.NO_ROOM, StartOutcome.REJECTED})
+"""Answers that say nothing of an earlier try that got none: it may be carried out yet, once there
+is room or the worker is sound. All others bar it."""
 END_REASONS = {"done": EndReason.DONE, "failed": EndReason.FAILED}
 """All other words (stopped, lapsed, broken, alone) say that the run did not come to its end."""
 
@@ -74,37 +76,42 @@
         # the time of day rises from one life to the next, and _raise_fence mends what steps spoil.
         self._fence = int(time.time() * 1000)
         self._headers: dict[str, str] = {}
-        self._clock_ahead_s: float | None = None
-        self._lease_ends_at = 0.0
-        """When the lease ends by this clock, if the worker's goes as fast."""
+        self._clock = LeastLead(drift=WORKER_CLOCK_ERROR)
+        """The worker's clock against this one. Taken as it was read, that of a worker that had been
+        idle for 30 s let what was started then run on for 0.6 s more."""
+        self._lease = WorkerLease(lease_s=lease_s)
         self._ends_seen = 0
         self._was_stop_unanswered = False
 
     @property
     def leased_until(self) -> float:
         """When everything on the worker has surely lapsed, by what was sent so far."""
-        return self._lease_ends_at + self._lease_s * WORKER_CLOCK_ERROR
+        return self._lease.ends_at + self._lease_s * WORKER_CLOCK_ERROR
 
     def meet(self, life: WorkerLife) -> None:
         """Address all further calls to this life."""
         self._headers = {EXPECTED_LIFE_HEADER: life.id}
-        self._clock_ahead_s = None
+        self._clock = LeastLead(drift=WORKER_CLOCK_ERROR)
         self._ends_seen = 0
 
-    async def start(self, request: StartRequest) -> StartOutcome:
+    async def start(self, request: StartRequest, *, get_limit: Callable[[], float]) -> StartOutcome:
         """Order a start, trying again while it stays unanswered.
 
         All tries are meant for the life that was known at the first one: a run must not begin on a
-        later life, since its owner is told that it ended with the life it was meant for.
+        later life, since its owner is told that it ended with the life it was meant for. Each try
+        asks anew how long the run is kept alive: this process may have stood still since the last.
         """
         headers = self._headers
         is_fresh = False
         for timeout_s in START_TIMEOUTS_S:
+            lease_end = self._lease.join(now=time.monotonic(), limit=get_limit())
+            if lease_end is None:
+                break
             call = StartCall(
                 task=_name_task(request.run_id),
                 run=request.run_id.run,
                 payload=request.payload,
-                until_ms=self._join_lease(),
+                until_ms=self._to_worker_ms(lease_end),
                 fence=self._fence,
             )
             try:
@@ -114,10 +121,11 @@
                 is_fresh = True
                 continue
             outcome = self._read_start(response)
+            if is_fresh and outcome in UNSURE_AFTER_SILENCE:
+                return StartOutcome.UNANSWERED
             if outcome is not StartOutcome.FENCED:
                 return outcome
-            self._raise_fence()
-        return StartOutcome.UNANSWERED
+        return StartOutcome.UNANSWERED if is_fresh else StartOutcome.EXPIRED
 
     async def stop(self, run_id: RunId) -> bool:
         """Order a stop; return whether it was answered."""
@@ -133,14 +141,17 @@
         self._was_stop_unanswered = False
         return response.status == 200
 
-    async def look(self, plan: LookPlan) -> Look:
+    async def look(self, plan: LookPlan, *, limit: float) -> Look:
         """Ask what runs and what ended."""
         asked_at = time.monotonic()
-        is_clock_known = self._clock_ahead_s is not None
+        is_clock_known = self._clock.is_known
+        lease_end = None
+        if plan.renews and is_clock_known:
+            lease_end = self._lease.renew(now=asked_at, limit=limit)
         call = HoldCall(
             fence=self._fence,
             ends_seen=self._ends_seen,
-            until_ms=self._renew() if plan.renews and is_clock_known else None,
+            until_ms=None if lease_end is None else self._to_worker_ms(lease_end),
             wait_ms=round(plan.wait_s * 1000) if plan.wait_s and is_clock_known else None,
         )
         try:
@@ -180,20 +191,12 @@
             is_fresh=is_fresh,
         )
 
-    def _renew(self) -> int:
-        """Return the end of a lease from now, in milliseconds of the worker's clock."""
-        self._lease_ends_at = time.monotonic() + self._lease_s
-        return self._get_lease_end_ms()
-
-    def _join_lease(self) -> int:
-        """Return the end of the lease, which is renewed if little of it is left."""
-        left_s = self._lease_ends_at - time.monotonic()
-        if left_s < LEAST_LEASE_SHARE * self._lease_s:
-            return self._renew()
-        return self._get_lease_end_ms()
-
-    def _get_lease_end_ms(self) -> int:
-        return round((self._lease_ends_at + (self._clock_ahead_s or 0.0)) * 1000)
+    def _to_worker_ms(self, at: float) -> int:
+        """Return a moment in milliseconds of the worker's clock, no later than it truly is."""
+        if not self._clock.is_known:
+            # Past on any clock: the worker refuses the order as too late.
+            return 0
+        return int((at + self._clock.get(now=time.monotonic())) * 1000)
 
     def _read_start(self, response: JsonResponse) -> StartOutcome:
         if response.status == WRONG_LIFE:
@@ -220,7 +223,8 @@
 
     def _follow_clock(self, clock_ms: float | None) -> None:
         if clock_ms is not None:
-            self._clock_ahead_s = clock_ms / 1000 - time.monotonic()
+            now = time.monotonic()
+            self._clock.show(clock_ms / 1000 - now, now=now)
 
     def _raise_fence(self) -> None:
         self._fence += FENCE_STEP
--- a/tests/core/supervision/test_free.py
+++ b/tests/core/supervision/test_free.py
@@ -39,7 +39,7 @@
 class FreeRoomTests(testtools.TestCase):
     @given(steps)
     def test_free_room_is_the_capacity_less_what_runs(self, plan: list[tuple[str, int]]) -> None:
-        limits = SupervisorLimits(owner_patience_s=10.0, stop_s=0.05)
+        limits = SupervisorLimits(owner_patience_s=1e6, lease_s=0.6, stop_s=0.05)
         supervisor = Supervisor(limits=limits)
         lives = ends = 0
         supervisor.meet_life(make_life(lives), now=0.0)
@@ -54,6 +54,7 @@
                     resources=Resources(cpu=1000 * number, memory_mb=10 * number, gpu=number % 2),
                     expected_s=1.0,
                     number=now,
+                    said_at=float(now),
                 )
                 supervisor.start(request, now=float(now))
             elif kind == "end":
--- /dev/null
+++ b/tests/core/test_clocks.py
@@ -0,0 +1,39 @@
+"""What is known of another process's clock is never more than it truly shows."""
+
+from __future__ import annotations
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dalemast.core.clocks import LeastLead
+
+DRIFT = 0.02
+delays = st.lists(st.tuples(st.floats(0.0, 5.0), st.floats(0.0, 3.0)), min_size=1, max_size=10)
+
+
+class LeastLeadTests(testtools.TestCase):
+    @given(delays, st.floats(0.0, DRIFT), st.floats(-1e4, 1e4))
+    def test_it_is_never_more_than_the_true_lead(
+        self, messages: list[tuple[float, float]], slow: float, ahead_s: float
+    ) -> None:
+        """Messages are sent after pauses and arrive after delays; the other clock goes slower."""
+        lead = LeastLead(drift=DRIFT)
+        now = 0.0
+        for pause_s, delay_s in messages:
+            now += pause_s
+            told = ahead_s + now * (1.0 - slow)
+            now += delay_s
+            lead.show(told - now, now=now)
+            self.assertLessEqual(lead.get(now=now), ahead_s - now * slow + 1e-6)
+
+    def test_nothing_is_known_before_the_first_message(self) -> None:
+        lead = LeastLead(drift=DRIFT)
+        self.assertFalse(lead.is_known)
+        self.assertEqual(float("-inf"), lead.get(now=1.0))
+
+    def test_a_message_that_took_long_does_not_spoil_what_is_known(self) -> None:
+        lead = LeastLead(drift=DRIFT)
+        lead.show(10.0, now=0.0)
+        lead.show(9.0, now=1.0)
+        self.assertAlmostEqual(10.0 - DRIFT, lead.get(now=1.0))
--- a/tests/fleet/test_looks.py
+++ b/tests/fleet/test_looks.py
@@ -37,7 +37,7 @@
     def meet(self, life: WorkerLife) -> None:
         """Nothing to note."""
 
-    async def look(self, plan: LookPlan) -> Look:
+    async def look(self, plan: LookPlan, *, limit: float) -> Look:
         """Fail without any wait."""
         self.looks += 1
         self.asked.append((plan.wait_s, plan.renews))
@@ -50,7 +50,7 @@
 
 def make_supervisor() -> Supervisor:
     """Return a supervisor whose worker has reported."""
-    supervisor = Supervisor(limits=SupervisorLimits(owner_patience_s=1.0, stop_s=0.05))
+    supervisor = Supervisor(limits=SupervisorLimits(owner_patience_s=1.0, lease_s=0.6, stop_s=0.05))
     supervisor.meet_life(
         WorkerLife(
             id="w",
@@ -127,6 +127,7 @@
             resources=Resources(cpu=100),
             expected_s=1.0,
             number=1,
+            said_at=1.0,
         )
         self.supervisor.start(request, now=1.0)
 
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from types import SimpleNamespace
 
+import msgspec
+
 from dalemast.core.scheduling import EndReason
 from dalemast.core.supervision import LookPlan, RunId, StartOutcome, StartRequest, WorkerLife
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.emulator import EmulatedWorker
 from dalemast.fleet.base import WorkerGone, WorkerReplaced, WorkerUnanswered
-from dalemast.http.client import HttpFailure
+from dalemast.http.client import HttpFailure, JsonResponse
 from dalemast.platform import PlatformWorkerDriver
-from dalemast.platform.wire import EXPECTED_LIFE_HEADER
+from dalemast.platform.wire import EXPECTED_LIFE_HEADER, StartCall
 from tests.base import AsyncTestCase
 from tests.fleet.base import find_address, make_text
 
@@ -27,9 +30,15 @@
         resources=Resources(cpu=1000, memory_mb=10),
         expected_s=0.1,
         number=1,
+        said_at=0.0,
     )
 
 
+def always() -> float:
+    """Let the worker run on for as long as the lease is."""
+    return float("inf")
+
+
 def plan(*, wait_s: float, renews: bool) -> LookPlan:
     return LookPlan(wait_s=wait_s, slack_s=0.1, renews=renews)
 
@@ -57,33 +66,35 @@
 
     def test_a_run_is_listed_and_its_end_is_told_once(self) -> None:
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
-            await driver.look(plan(wait_s=0.0, renews=False))
+            await driver.look(plan(wait_s=0.0, renews=False), limit=always())
             request = make_request(run_s=0.3)
-            self.assertIs(StartOutcome.RUNNING, await driver.start(request))
-            look = await driver.look(plan(wait_s=0.0, renews=True))
+            self.assertIs(StartOutcome.RUNNING, await driver.start(request, get_limit=always))
+            look = await driver.look(plan(wait_s=0.0, renews=True), limit=always())
             self.assertEqual([request.run_id], [row.run_id for row in look.running])
-            look = await driver.look(plan(wait_s=2.0, renews=True))
+            look = await driver.look(plan(wait_s=2.0, renews=True), limit=always())
             self.assertEqual(
                 [(request.run_id, EndReason.DONE)], [(e.run_id, e.reason) for e in look.ended]
             )
-            self.assertEqual((), (await driver.look(plan(wait_s=0.0, renews=True))).ended)
+            self.assertEqual(
+                (), (await driver.look(plan(wait_s=0.0, renews=True), limit=always())).ended
+            )
 
         self.play(scenario)
 
     def test_a_used_run_number_is_told(self) -> None:
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
-            await driver.look(plan(wait_s=0.0, renews=False))
+            await driver.look(plan(wait_s=0.0, renews=False), limit=always())
             request = make_request()
             self.assertTrue(await driver.stop(request.run_id))
-            self.assertIs(StartOutcome.RUN_USED, await driver.start(request))
+            self.assertIs(StartOutcome.RUN_USED, await driver.start(request, get_limit=always))
 
         self.play(scenario)
 
     def test_a_lease_that_is_not_renewed_ends_what_runs(self) -> None:
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
-            await driver.look(plan(wait_s=0.0, renews=False))
-            await driver.start(make_request(run_s=30.0))
-            look = await driver.look(plan(wait_s=1.9, renews=False))
+            await driver.look(plan(wait_s=0.0, renews=False), limit=always())
+            await driver.start(make_request(run_s=30.0), get_limit=always)
+            look = await driver.look(plan(wait_s=1.9, renews=False), limit=always())
             self.assertEqual([EndReason.STOPPED], [end.reason for end in look.ended])
 
         self.play(scenario)
@@ -92,13 +103,13 @@
         """Renewed by starts, the lease of a worker that has fallen silent would go on."""
 
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
-            await driver.look(plan(wait_s=0.0, renews=False))
-            await driver.look(plan(wait_s=0.0, renews=True))
+            await driver.look(plan(wait_s=0.0, renews=False), limit=always())
+            await driver.look(plan(wait_s=0.0, renews=True), limit=always())
             leased_until = driver.leased_until
-            await driver.start(make_request())
+            await driver.start(make_request(), get_limit=always)
             self.assertEqual(leased_until, driver.leased_until)
-            driver._lease_ends_at -= LEASE_S
-            await driver.start(make_request(run=2))
+            await asyncio.sleep(LEASE_S)
+            await driver.start(make_request(run=2), get_limit=always)
             self.assertGreater(driver.leased_until, leased_until)
 
         self.play(scenario)
@@ -106,19 +117,23 @@
     def test_another_life_at_the_address_is_noticed(self) -> None:
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
             driver.meet(make_life("i-gone"))
-            self.assertIs(StartOutcome.WRONG_LIFE, await driver.start(make_request()))
+            self.assertIs(
+                StartOutcome.WRONG_LIFE, await driver.start(make_request(), get_limit=always)
+            )
             with self.assertRaises(WorkerReplaced):
-                await driver.look(plan(wait_s=0.0, renews=True))
+                await driver.look(plan(wait_s=0.0, renews=True), limit=always())
 
         self.play(scenario)
 
     def test_a_dead_worker_and_a_silent_one_are_told_apart(self) -> None:
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
             worker.set_faults(late_orders=1.0)
-            self.assertIs(StartOutcome.UNANSWERED, await driver.start(make_request()))
+            self.assertIs(
+                StartOutcome.UNANSWERED, await driver.start(make_request(), get_limit=always)
+            )
             await worker.crash()
             with self.assertRaises(WorkerGone):
-                await driver.look(plan(wait_s=0.0, renews=True))
+                await driver.look(plan(wait_s=0.0, renews=True), limit=always())
 
         self.play(scenario)
 
@@ -130,11 +145,13 @@
             )
             later._fence += 1000  # as after a step of the clock
             later.meet(make_life(worker.life_id))
-            await later.look(plan(wait_s=0.0, renews=False))
+            await later.look(plan(wait_s=0.0, renews=False), limit=always())
             with self.assertRaises(WorkerUnanswered):
-                await driver.look(plan(wait_s=0.0, renews=False))
-            await driver.look(plan(wait_s=0.0, renews=False))
-            self.assertIs(StartOutcome.RUNNING, await driver.start(make_request()))
+                await driver.look(plan(wait_s=0.0, renews=False), limit=always())
+            await driver.look(plan(wait_s=0.0, renews=False), limit=always())
+            self.assertIs(
+                StartOutcome.RUNNING, await driver.start(make_request(), get_limit=always)
+            )
 
         self.play(scenario)
 
@@ -161,12 +178,61 @@
         client = SilentClient(then=lambda: driver.meet(make_life("second")))
         driver._orders = client
         driver.meet(make_life("first"))
-        outcome = self.run_async(driver.start(make_request()))
+        outcome = self.run_async(driver.start(make_request(), get_limit=always))
         self.assertIs(StartOutcome.UNANSWERED, outcome)
         self.assertEqual({"first"}, set(client.lives))
         self.assertGreater(len(client.lives), 1)
 
 
+class AnsweringClient:
+    """Gives the answers that it was made with, one a request; None is no answer."""
+
+    def __init__(self, *answers: tuple[int, str] | None) -> None:
+        self.calls: list[StartCall] = []
+        self._answers = list(answers)
+
+    async def request(self, method: str, path: str, *, body: StartCall, **kwargs: object) -> object:
+        self.calls.append(body)
+        answer = self._answers[len(self.calls) - 1]
+        if answer is None:
+            raise HttpFailure("no answer", is_unreachable=False)
+        status, reason = answer
+        return JsonResponse(status=status, body=msgspec.json.encode({"reason": reason}))
+
+
+class TriesTests(AsyncTestCase):
+    """A start whose first try stays unanswered: that try may be carried out yet."""
+
+    def order(
+        self, *answers: tuple[int, str] | None, limits: tuple[float, ...] = ()
+    ) -> tuple[StartOutcome, AnsweringClient]:
+        settings = SimpleNamespace(worker=SimpleNamespace(address="127.0.0.1:9"))
+        driver = PlatformWorkerDriver(settings=settings, lease_s=LEASE_S)
+        client = driver._orders = AnsweringClient(*answers)
+        left = list(limits)
+        get_limit = (lambda: left.pop(0)) if limits else always
+        return self.run_async(driver.start(make_request(), get_limit=get_limit)), client
+
+    def test_a_try_that_finds_no_room_says_nothing_of_an_earlier_one(self) -> None:
+        for answer in ((409, "room"), (429, ""), (503, "")):
+            outcome, _ = self.order(None, answer)
+            self.assertIs(StartOutcome.UNANSWERED, outcome)
+
+    def test_a_try_that_comes_too_late_tells_that_earlier_ones_do(self) -> None:
+        outcome, _ = self.order(None, (409, "late"))
+        self.assertIs(StartOutcome.EXPIRED, outcome)
+
+    def test_a_start_that_is_not_wanted_any_more_is_not_said_again(self) -> None:
+        outcome, client = self.order(None, (200, ""), limits=(float("inf"), float("-inf")))
+        self.assertIs(StartOutcome.UNANSWERED, outcome)
+        self.assertEqual(1, len(client.calls))
+
+    def test_a_start_that_was_never_said_has_not_run(self) -> None:
+        outcome, client = self.order(limits=(float("-inf"),))
+        self.assertIs(StartOutcome.EXPIRED, outcome)
+        self.assertEqual([], client.calls)
+
+
 def make_life(life_id: str) -> WorkerLife:
     return WorkerLife(
         id=life_id,
