Count an owner's word from when it was said, not from when it arrives

Cause: an agent's patience with an owner began anew at each frame's arrival. A frame that was held up on its way, or waited in a socket, renewed the runs of an owner that had given them up by then, and a start in it was taken as new. An entry acted on frames that had waited while it stood still before it noticed. Change: each frame of an entry tells when it last knew that it ran on; the agent relates the entry's clock to its own by a question and its answer, so that it never counts a word as younger than it is. An entry checks for a standstill before each frame, as agents do. Ruled out: echoes of the agent's last word alone, which are up to 5 s old on an idle link; the time of day, which may be stepped.

--- a/dalemast/fleet/agent/owner_sessions.py
+++ b/dalemast/fleet/agent/owner_sessions.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import time
 from typing import Protocol
 
+from dalemast.core.clocks import LeastLead
 from dalemast.core.supervision import RoomAudience
 from dalemast.fleet.base import Member
-from dalemast.fleet.frames import EntryMessage
+from dalemast.fleet.frames import ClockAnswer, ClockAsk, EntryMessage, Said
 from dalemast.fleet.links import Link
+from dalemast.fleet.timing import STEADY_CLOCK_DRIFT
 
 __all__ = ["OwnerSession", "OwnerSessionKeeper"]
 
@@ -33,6 +36,10 @@
         self.seen = 0
         """The number of the last start that arrived on this link."""
         self.audience = RoomAudience()
+        self.clock_asked_at = float("-inf")
+        self._lead = LeastLead(drift=STEADY_CLOCK_DRIFT)
+        """This clock against the entry's."""
+        self._said_ms = 0
         self._links = links
 
     @property
@@ -40,6 +47,25 @@
         """The entry's incarnation, which owns the runs that it starts."""
         return self.member.incarnation if self.member else ""
 
+    @property
+    def said_at(self) -> float:
+        """When the frame that is being taken in was said at the earliest, by this clock."""
+        return self._said_ms / 1000 + self._lead.get(now=time.monotonic())
+
+    def ask_clock(self) -> None:
+        """Ask how the entry's clock goes."""
+        self.clock_asked_at = time.monotonic()
+        self.link.send(ClockAsk(sent_at_ms=int(self.clock_asked_at * 1000)))
+
+    def note_said(self, said: Said) -> None:
+        """Note when the frame that is being taken in was said."""
+        self._said_ms = said.at_ms
+
+    def take_clock(self, answer: ClockAnswer) -> None:
+        """Take in how the entry's clock goes: it heard the question after it was sent."""
+        lead_s = (answer.sent_at_ms - answer.heard_at_ms) / 1000
+        self._lead.show(lead_s, now=time.monotonic())
+
     def receive(self, messages: list[EntryMessage]) -> None:
         """Take in a frame."""
         self._links.receive(self, messages)
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -24,6 +24,7 @@
     AgentHello,
     Beat,
     Bye,
+    ClockAnswer,
     EntryHello,
     EntryMessage,
     EvacuationNews,
@@ -31,6 +32,7 @@
     RunEnded,
     RunRow,
     RunSlow,
+    Said,
     Starts,
     Stop,
     Wants,
@@ -40,6 +42,10 @@
 
 __all__ = ["OwnerLinks"]
 
+CLOCK_PAUSE_S = 5.0
+"""Pause between questions to an entry how its clock goes: in this time two clocks part by 2.5 ms at
+the most. The questions and answers stand for the beats of an idle link."""
+
 
 class OwnerLinks:
     """All entries in reach of this agent."""
@@ -106,10 +112,11 @@
             session.link.reset()
         if not session.link.is_open:
             return
-        if session.member is not None:
-            self._supervisor.hear(session.owner, said_at=time.monotonic())
         for message in messages:
             self._take(session, message)
+        if session.member is not None:
+            # After the stops of this frame, which it does not keep alive.
+            self._supervisor.hear(session.owner, said_at=session.said_at)
 
     def end_session(self, session: OwnerSession) -> None:
         """Note that a link has ended; its owner's runs go on for as long as patience lasts."""
@@ -169,7 +176,9 @@
         for session in list(self._sessions.values()):
             is_busy = session.owner in busy
             pause_s = self._times.beat_s if is_busy else self._times.idle_beat_s
-            if now - session.link.sent_at >= pause_s:
+            if now - session.clock_asked_at >= CLOCK_PAUSE_S:
+                session.ask_clock()
+            elif now - session.link.sent_at >= pause_s:
                 session.link.send(Beat())
             # A link that carries runs may be dead one by one, with the owner alive: its runs are
             # stopped anyway after this time, and only a new link gives it the worker back.
@@ -190,6 +199,10 @@
 
     def _take(self, session: OwnerSession, message: EntryMessage) -> None:
         match message:
+            case Said():
+                session.note_said(message)
+            case ClockAnswer():
+                session.take_clock(message)
             case EntryHello():
                 self._greet(session, message)
             case EvacuationNews():
@@ -214,8 +227,8 @@
         session.member = to_member(hello.member)
         session.is_near = session.member.data_centre == self._data_centre
         self._sessions[session.owner] = session
-        self._supervisor.hear(session.owner, said_at=time.monotonic())
         self._book.learn([session.member])
+        session.ask_clock()
         runs = tuple(_make_row(r) for r in self._supervisor.get_owner_runs(session.owner))
         session.link.send(
             AgentHello(
@@ -240,7 +253,7 @@
                     resources=Resources(cpu=row.cpu, memory_mb=row.memory_mb, gpu=row.gpu),
                     expected_s=row.expected_s,
                     number=row.number,
-                    said_at=time.monotonic(),
+                    said_at=session.said_at,
                 )
             )
 
--- a/dalemast/fleet/entry/agent_sessions.py
+++ b/dalemast/fleet/entry/agent_sessions.py
@@ -13,6 +13,9 @@
 class AgentSessionKeeper(Protocol):
     """Takes what happens on a link."""
 
+    def begin_frame(self) -> None:
+        """Prepare for a frame's messages."""
+
     def take(self, session: AgentSession, message: AgentMessage) -> None:
         """Take in one message."""
 
@@ -41,6 +44,7 @@
 
     def receive(self, messages: list[AgentMessage]) -> None:
         """Take in a frame."""
+        self._links.begin_frame()
         for message in messages:
             self._links.take(self, message)
 
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable, Iterable
 
@@ -28,11 +29,14 @@
     AgentMessage,
     Beat,
     Bye,
+    ClockAnswer,
+    ClockAsk,
     EntryHello,
     MemberNews,
     RoomNews,
     RunEnded,
     RunSlow,
+    Said,
     Stop,
     Wants,
     WorkerNews,
@@ -61,6 +65,8 @@
         evacuations: EvacuationsInForce,
         times: FleetTimes,
         apply: Apply,
+        get_checked_at: Callable[[], float],
+        check_pause: Callable[[], bool],
         note_end: Callable[[RunEnded], None],
     ) -> None:
         self._member = member
@@ -69,6 +75,8 @@
         self._evacuations = evacuations
         self._times = times
         self._apply = apply
+        self._get_checked_at = get_checked_at
+        self._check_pause = check_pause
         self._note_end = note_end
         self._sessions: dict[str, AgentSession] = {}
         self._by_worker: dict[str, AgentSession] = {}
@@ -83,6 +91,7 @@
 
     def accept(self, link: Link) -> AgentSession:
         """Greet an agent that opened a link."""
+        link.begin_frames(self._make_said)
         link.send(EntryHello(member=to_row(self._member)))
         return AgentSession(link=link, links=self)
 
@@ -122,9 +131,15 @@
             if session is not None:
                 session.link.send(message)
 
+    def begin_frame(self) -> None:
+        """Find out whether this process stood still before it acts on what waited meanwhile."""
+        self._check_pause()
+
     def take(self, session: AgentSession, message: AgentMessage) -> None:
         """Take in one message."""
         match message:
+            case ClockAsk():
+                self._answer_clock(session, message)
             case AgentHello():
                 self._greet(session, message)
             case WorkerNews():
@@ -180,6 +195,17 @@
         if session.active_since is None:
             session.active_since = time.monotonic()
 
+    def _make_said(self) -> Said:
+        """Return when what follows is said: when this process last knew that it ran on.
+
+        It may have stood still since, between a decision and its sending.
+        """
+        return Said(at_ms=int(self._get_checked_at() * 1000))
+
+    def _answer_clock(self, session: AgentSession, asked: ClockAsk) -> None:
+        heard_at_ms = math.ceil(time.monotonic() * 1000)
+        session.link.send(ClockAnswer(sent_at_ms=asked.sent_at_ms, heard_at_ms=heard_at_ms))
+
     def _greet(self, session: AgentSession, hello: AgentHello) -> None:
         before = self._sessions.get(hello.name)
         if before is not None and before is not session:
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -85,6 +85,8 @@
             evacuations=self._evacuations,
             times=self._times,
             apply=self._desk.apply,
+            get_checked_at=lambda: self._pauses.checked_at,
+            check_pause=self._check_pause,
             note_end=self._desk.note_end,
         )
         self._peers = PeerLinks(
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -22,6 +22,8 @@
     "Bye",
     "Claim",
     "ClaimAnswer",
+    "ClockAnswer",
+    "ClockAsk",
     "ConfigurationAsk",
     "ConfigurationLater",
     "ConfigurationMessage",
@@ -38,6 +40,7 @@
     "RunEnded",
     "RunRow",
     "RunSlow",
+    "Said",
     "StartRow",
     "Starts",
     "Stop",
@@ -82,6 +85,29 @@
     hears_other: bool = True
 
 
+class Said(Message, frozen=True, tag="t"):
+    """When the rest of the frame was said, by the sender's steady clock, in milliseconds.
+
+    It may have been said later, never earlier. A frame may wait on its way, or at a receiver that
+    stands still, and what it says of a run counts from when it was said.
+    """
+
+    at_ms: int
+
+
+class ClockAsk(Message, frozen=True, tag="k"):
+    """Ask how the other end's clock goes; ``sent_at_ms`` is the sender's."""
+
+    sent_at_ms: int
+
+
+class ClockAnswer(Message, frozen=True, tag="K"):
+    """``heard_at_ms`` is when the question arrived, by the clock of who answers."""
+
+    sent_at_ms: int
+    heard_at_ms: int
+
+
 class EntryHello(Message, frozen=True, tag="h"):
     """An entry's first message to an agent."""
 
@@ -260,9 +286,20 @@
     job: str
 
 
-EntryMessage = EntryHello | EvacuationNews | MemberNews | Starts | Stop | Wants | Beat | Bye
+EntryMessage = (
+    Said
+    | ClockAnswer
+    | EntryHello
+    | EvacuationNews
+    | MemberNews
+    | Starts
+    | Stop
+    | Wants
+    | Beat
+    | Bye
+)
 """What an agent hears."""
-AgentMessage = AgentHello | WorkerNews | RoomNews | RunEnded | RunSlow | Beat | Bye
+AgentMessage = ClockAsk | AgentHello | WorkerNews | RoomNews | RunEnded | RunSlow | Beat | Bye
 """What an entry hears from an agent."""
 ConfigurationMessage = VersionNews | ConfigurationAsk | ConfigurationLater | ConfigurationNews
 """What entries tell one another of configurations."""
--- a/dalemast/fleet/links/base.py
+++ b/dalemast/fleet/links/base.py
@@ -59,6 +59,7 @@
         self._outgoing: list[msgspec.Struct | msgspec.Raw] = []
         self._is_scheduled = False
         self._is_open = True
+        self._make_head: Callable[[], msgspec.Struct] | None = None
         self.heard_at = time.monotonic()
         self.sent_at = self.heard_at
 
@@ -67,10 +68,16 @@
         """Whether messages can be sent."""
         return self._is_open
 
+    def begin_frames(self, make_head: Callable[[], msgspec.Struct]) -> None:
+        """Let each frame begin with a message, made as the first of its others is sent."""
+        self._make_head = make_head
+
     def send(self, message: msgspec.Struct | msgspec.Raw) -> None:
         """Send a message with the next frame; nothing happens on a closed link."""
         if not self._is_open:
             return
+        if not self._outgoing and self._make_head is not None:
+            self._outgoing.append(self._make_head())
         self._outgoing.append(message)
         if not self._is_scheduled:
             self._is_scheduled = True
--- a/dalemast/fleet/pauses.py
+++ b/dalemast/fleet/pauses.py
@@ -14,6 +14,11 @@
         self._limit_s = limit_s
         self._ticked_at = time.monotonic()
 
+    @property
+    def checked_at(self) -> float:
+        """When it was last checked whether the process stood still, by its steady clock."""
+        return self._ticked_at
+
     def check(self) -> float:
         """Return how long the process stood still before this call, or 0 if not for long.
 
