--- a/tests/fleet/test_bounds.py
+++ b/tests/fleet/test_bounds.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -22,6 +23,10 @@
 from unittest import mock
 
 from dalemast.emulator import EmulatedWorker
+from dalemast.emulator.runs import Order
+from dalemast.fleet.agent.owner_sessions import OwnerSession
+from dalemast.fleet.book import to_row
+from dalemast.fleet.frames import EntryHello
 from tests.base import AsyncTestCase, wait_until
 from tests.fleet.base import HOST, PREFIX, LocalFleet, make_body, make_text, settle
 from tests.soak.cluster import Cluster
@@ -79,6 +84,63 @@
         self.assertEqual([], overlaps.found)
 
 
+class StrayTests(AsyncTestCase):
+    """A run that begins late, when nobody counts on it any more, is stopped; the others go on.
+
+    The agent took its worker back for as long as the late run went on, and told entries of it anew
+    without a word of the others. Their owners counted them as over and ran them elsewhere.
+    """
+
+    def test_what_runs_beside_a_late_run_is_not_run_again(self) -> None:
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=2) as fleet:
+                overlaps = Overlaps(fleet.workers)
+                job_id = JOB.format(3)
+                job = asyncio.create_task(fleet.submit(job_id, count=4, text=make_text(1.0)))
+                await wait_until(lambda: len(fleet.get_running(job_id)) == 4, "the job to run")
+                for worker in fleet.workers:
+                    worker.set_faults(lost_stops=1.0)
+                    begin_late(worker, JOB.format(4))
+                await asyncio.sleep(0.25)
+                for worker in fleet.workers:
+                    worker.set_faults(lost_stops=0.0)
+                await wait_until(lambda: not fleet.get_running(JOB.format(4)), "it to be stopped")
+                self.assertEqual(200, (await job).status)
+                self.assertEqual([], overlaps.found)
+                self.assertEqual(4, len(fleet.get_started(job_id)))
+
+        self.run_async(scenario())
+
+
+def begin_late(worker: EmulatedWorker, job_id: str) -> None:
+    """Let a worker begin a run that its agent does not know."""
+    late = Order(
+        task=f"{job_id}.0.0.0",
+        run=1,
+        until_s=worker._now() + 0.5,
+        fence=worker._runs._fence,
+        run_s=5.0,
+    )
+    assert not worker._runs.start(late, now=worker._now())
+
+
+class TwoLinksTests(AsyncTestCase):
+    def test_what_is_under_way_on_an_earlier_link_is_not_taken(self) -> None:
+        """What the agent tells of its runs on the new one says nothing of it."""
+
+        async def scenario() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                owners = fleet.agents[0]._owners
+                (earlier,) = owners._sessions.values()
+                link = mock.Mock(is_open=True, sent_at=0.0, heard_at=time.monotonic())
+                later = OwnerSession(link=link, links=owners)
+                assert earlier.member is not None
+                later.receive([EntryHello(member=to_row(earlier.member))])
+                self.assertFalse(earlier.link.is_open)
+
+        self.run_async(scenario())
+
+
 class MuteWorker(EmulatedWorker):
     """A worker that leaves starts unanswered, and undone, until it is told to take them."""
 
