Tell of an agent's runs with its worker, and count words only once they are compared

Cause: the runs of an owner were listed in the hello, and compared once, when the worker was told of first. Told of anew on the same link, after a late run had ended, all others counted as over. An owner's words also renewed runs that it had given up while it was out of reach, until its stop for them came. Change: the worker's news lists the owner's runs; the entry says when it has compared them, after the stops and before the starts that follow. Before that its words keep nothing alive and no start is taken. A late run no longer takes the worker back. A second link with an entry ends the first. Ruled out: refusing to tell of a worker while late runs go on: its own runs would be lost with it.

--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -81,6 +81,7 @@
         self._kept_until: dict[str, float] = {}
         """By owner, until when its latest word keeps its runs alive."""
         self._has_looked = False
+        self._has_settled = False
 
     @property
     def life(self) -> WorkerLife | None:
@@ -111,13 +112,19 @@
 
     @property
     def is_settled(self) -> bool:
-        """Whether nothing runs on the worker that this life of the agent does not know.
+        """Whether nothing runs on the worker that this life of the agent does not know."""
+        return self.life is not None and self._has_looked and not self._strays
+
+    @property
+    def has_settled(self) -> bool:
+        """Whether nothing unknown has run there at some moment since the worker was met.
 
         Owners take it from the agent that a run which it does not list is over. So a new life of an
         agent keeps its worker to itself until it has looked, which also bars the orders that its
-        last life left under way by a higher fencing token, and until all strays have ended.
+        last life left under way by a higher fencing token, and until all strays have ended. A stray
+        that begins later is none of the runs that owners still count on.
         """
-        return self.life is not None and self._has_looked and not self._strays
+        return self.life is not None and self._has_settled
 
     def get_free(self) -> Resources:
         """Return what is free on the worker."""
@@ -296,6 +303,7 @@
             actions += self._see_running(row, now)
         self._strays &= listed
         self._has_looked = True
+        self._has_settled |= self.is_settled
         if self.is_settled and not was_ready:
             # From now on starts are taken, and owners hear of it by the report alone.
             actions.append(ReportRoom())
@@ -419,6 +427,7 @@
         self._health = WorkerHealth()
         self._strays.clear()
         self._has_looked = False
+        self._has_settled = False
         self._acceptance.is_silent = False
         return [ReportRoom()]
 
--- a/dalemast/fleet/agent/owner_sessions.py
+++ b/dalemast/fleet/agent/owner_sessions.py
@@ -33,6 +33,10 @@
         self.member: Member | None = None
         self.is_near = False
         """Whether the entry is in the agent's data centre, once it has greeted."""
+        self.is_reconciled = False
+        """Whether the entry has compared the runs that it was told of last with its jobs. Before,
+        its words keep none of them alive, since it may have given up some while it was out of
+        reach, and no start of it is taken, since it counts what it was not told of as over."""
         self.seen = 0
         """The number of the last start that arrived on this link."""
         self.audience = RoomAudience()
@@ -50,6 +54,8 @@
     @property
     def said_at(self) -> float:
         """When the frame that is being taken in was said at the earliest, by this clock."""
+        if not self.is_reconciled:
+            return float("-inf")
         return self._said_ms / 1000 + self._lead.get(now=time.monotonic())
 
     def ask_clock(self) -> None:
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -17,7 +17,7 @@
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.fleet.agent.dialling import OwnerDialling
 from dalemast.fleet.agent.owner_sessions import OwnerSession
-from dalemast.fleet.agent.reports import WorkerReports, to_want
+from dalemast.fleet.agent.reports import WorkerReports, to_row, to_want
 from dalemast.fleet.book import AddressBook, to_member
 from dalemast.fleet.evacuations import EvacuationsInForce
 from dalemast.fleet.frames import (
@@ -29,8 +29,8 @@
     EntryMessage,
     EvacuationNews,
     MemberNews,
+    Reconciled,
     RunEnded,
-    RunRow,
     RunSlow,
     Said,
     Starts,
@@ -114,9 +114,8 @@
             return
         for message in messages:
             self._take(session, message)
-        if session.member is not None:
-            # After the stops of this frame, which it does not keep alive.
-            self._supervisor.hear(session.owner, said_at=session.said_at)
+        # After the stops of this frame, which it does not keep alive.
+        self._supervisor.hear(session.owner, said_at=session.said_at)
 
     def end_session(self, session: OwnerSession) -> None:
         """Note that a link has ended; its owner's runs go on for as long as patience lasts."""
@@ -131,7 +130,7 @@
         if session is None:
             return
         news = RunEnded(
-            run=_make_row(report.run_id), reason=report.reason, run_s=round(report.run_s, 4)
+            run=to_row(report.run_id), reason=report.reason, run_s=round(report.run_s, 4)
         )
         session.link.send(news)
         self._reports.note_end(session)
@@ -143,7 +142,7 @@
             return
         session.link.send(
             RunSlow(
-                run=_make_row(report.run_id),
+                run=to_row(report.run_id),
                 age_s=round(report.age_s, 3),
                 total_s=round(report.total_s, 3),
                 worker_pace=round(report.worker_pace, 2),
@@ -209,6 +208,8 @@
                 self._take_evacuations(session, message)
             case MemberNews():
                 self._book.learn(to_member(row) for row in message.members)
+            case Reconciled():
+                session.is_reconciled = True
             case Starts():
                 self._take_starts(session, message)
             case Stop():
@@ -226,20 +227,22 @@
     def _greet(self, session: OwnerSession, hello: EntryHello) -> None:
         session.member = to_member(hello.member)
         session.is_near = session.member.data_centre == self._data_centre
+        before = self._sessions.get(session.owner)
         self._sessions[session.owner] = session
+        if before is not None and before is not session:
+            # What is still under way there is missing in what this link tells of runs.
+            before.link.reset()
         self._book.learn([session.member])
         session.ask_clock()
-        runs = tuple(_make_row(r) for r in self._supervisor.get_owner_runs(session.owner))
         session.link.send(
             AgentHello(
                 name=self._name,
                 incarnation=self._incarnation,
                 data_centre=self._data_centre,
-                runs=runs,
             )
         )
         self._reports.greet(session, now=time.monotonic())
-        log_event("entry:link", entry=session.member.name, runs=len(runs))
+        log_event("entry:link", entry=session.member.name, runs=self._count_runs(session))
 
     def _take_starts(self, session: OwnerSession, starts: Starts) -> None:
         session.audience.want = to_want(starts.want)
@@ -259,12 +262,3 @@
 
     def _count_runs(self, session: OwnerSession) -> int:
         return len(self._supervisor.get_owner_runs(session.owner))
-
-
-def _make_row(run_id: RunId) -> RunRow:
-    return RunRow(
-        job=run_id.job_id,
-        step=run_id.task.step,
-        position=run_id.task.position,
-        run=run_id.run,
-    )
--- a/dalemast/fleet/agent/reports.py
+++ b/dalemast/fleet/agent/reports.py
@@ -5,11 +5,21 @@
 from collections.abc import Mapping
 
 from dalemast.core.scheduling import Want
-from dalemast.core.supervision import Supervisor, find_neediest, get_room_pause
+from dalemast.core.supervision import RunId, Supervisor, find_neediest, get_room_pause
 from dalemast.fleet.agent.owner_sessions import OwnerSession
-from dalemast.fleet.frames import RoomNews, WantRow, WorkerNews
+from dalemast.fleet.frames import RoomNews, RunRow, WantRow, WorkerNews
 
-__all__ = ["WorkerReports", "to_want"]
+__all__ = ["WorkerReports", "to_row", "to_want"]
+
+
+def to_row(run_id: RunId) -> RunRow:
+    """Return how a message names a run."""
+    return RunRow(
+        job=run_id.job_id,
+        step=run_id.task.step,
+        position=run_id.task.position,
+        run=run_id.run,
+    )
 
 
 def to_want(row: WantRow | None) -> Want | None:
@@ -34,7 +44,7 @@
 
     def greet(self, session: OwnerSession, *, now: float) -> None:
         """Tell an entry that was just met of the worker and its room."""
-        session.link.send(self._make_worker_news())
+        self._tell_worker(session)
         session.audience.hasten()
         self.send_due(now=now)
 
@@ -90,12 +100,12 @@
 
     def _announce_worker(self) -> None:
         """Tell all entries of the worker's life if it has changed or has become known."""
-        news = self._make_worker_news()
-        if news.id == self._announced_life:
+        life_id = self._get_known_life()
+        if life_id == self._announced_life:
             return
-        self._announced_life = news.id
+        self._announced_life = life_id
         for session in self._sessions.values():
-            session.link.send(news)
+            self._tell_worker(session)
             session.audience.hasten()
 
     def _check_accepting(self, now: float) -> None:
@@ -120,15 +130,27 @@
             )
         )
 
-    def _make_worker_news(self) -> WorkerNews:
+    def _get_known_life(self) -> str:
+        """Return the id of the worker's life, or an empty text while owners are not told of it."""
         life = self._supervisor.life
-        if life is None or not self._supervisor.is_settled:
-            return WorkerNews(id="", service="", cpu=0, memory_mb=0, gpu=0, labels=())
-        return WorkerNews(
+        return life.id if life is not None and self._supervisor.has_settled else ""
+
+    def _tell_worker(self, session: OwnerSession) -> None:
+        """Tell an entry of the worker, and which of its runs are there."""
+        session.is_reconciled = False
+        life = self._supervisor.life
+        if life is None or not self._supervisor.has_settled:
+            news = WorkerNews(id="", service="", cpu=0, memory_mb=0, gpu=0, labels=())
+            session.link.send(news)
+            return
+        runs = self._supervisor.get_owner_runs(session.owner)
+        news = WorkerNews(
             id=life.id,
             service=life.service,
             cpu=life.capacity.cpu,
             memory_mb=life.capacity.memory_mb,
             gpu=life.capacity.gpu,
             labels=tuple(sorted(life.labels)),
+            runs=tuple(to_row(run_id) for run_id in runs),
         )
+        session.link.send(news)
--- a/dalemast/fleet/entry/agent_sessions.py
+++ b/dalemast/fleet/entry/agent_sessions.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from dalemast.fleet.frames import AgentHello, AgentMessage, RunRow
+from dalemast.fleet.frames import AgentHello, AgentMessage
 from dalemast.fleet.links import Link
 
 __all__ = ["AgentSession", "AgentSessionKeeper"]
@@ -31,8 +31,6 @@
         self._links = links
         self.hello: AgentHello | None = None
         self.worker = ""
-        self.runs: tuple[RunRow, ...] = ()
-        """What the agent listed in its hello, until it is compared."""
         self.is_ending = False
         self.active_since: float | None = None
         """Since when the link has carried runs."""
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -33,6 +33,7 @@
     ClockAsk,
     EntryHello,
     MemberNews,
+    Reconciled,
     RoomNews,
     RunEnded,
     RunSlow,
@@ -211,20 +212,21 @@
         if before is not None and before is not session:
             self.end_session(before, "replaced")
         session.hello = hello
-        session.runs = hello.runs
         self._sessions[hello.name] = session
         # Only now, since changes are told to greeted agents; no start goes out before.
         evacuations = self._evacuations.make_news()
         if evacuations is not None:
             session.link.send(evacuations)
         session.link.send(MemberNews(members=tuple(to_row(m) for m in self._book.members)))
-        log_event("agent:link", agent=hello.name, runs=len(hello.runs))
+        log_event("agent:link", agent=hello.name)
 
     def _meet_worker(self, session: AgentSession, news: WorkerNews) -> None:
         hello = session.hello
         if hello is None:
             return
-        if news.id == session.worker:
+        if news.id and news.id == session.worker:
+            # Told twice; the stops that followed from the first time are on their way.
+            session.link.send(Reconciled())
             return
         self._drop_worker(session)
         if not news.id:
@@ -240,10 +242,16 @@
         session.worker = news.id
         self._by_worker[news.id] = session
         self._scheduler.add_worker(view, now=time.monotonic())
-        listed = [(row.job, TaskKey(row.step, row.position), row.run) for row in session.runs]
-        session.runs = ()
-        log_event("worker:in-reach", worker=news.id, agent=hello.name, cpu=news.cpu)
-        self._apply(self._scheduler.reconcile(news.id, listed, now=time.monotonic()))
+        listed = [(row.job, TaskKey(row.step, row.position), row.run) for row in news.runs]
+        log_event(
+            "worker:in-reach", worker=news.id, agent=hello.name, cpu=news.cpu, runs=len(listed)
+        )
+        actions = self._scheduler.reconcile(news.id, listed, now=time.monotonic())
+        # Between the stops and the starts: the agent takes no start before, since one that was
+        # under way as it told of its runs is missing there and counts as over here.
+        self._apply([action for action in actions if isinstance(action, StopTask)])
+        session.link.send(Reconciled())
+        self._apply([action for action in actions if not isinstance(action, StopTask)])
 
     def _drop_worker(self, session: AgentSession) -> None:
         if not session.worker:
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -35,6 +35,7 @@
     "MemberRow",
     "PeerHello",
     "PeerMessage",
+    "Reconciled",
     "Release",
     "RoomNews",
     "RunEnded",
@@ -176,17 +177,26 @@
     """The sender ends as planned and has nothing left open."""
 
 
+class Reconciled(Message, frozen=True, tag="o"):
+    """The entry has compared the runs that ``WorkerNews`` lists with its jobs.
+
+    It has told by now which ones to stop, and its words keep the others alive from here on.
+    """
+
+
 class AgentHello(Message, frozen=True, tag="H"):
-    """An agent's first message. ``runs`` are those of this owner that are still there."""
+    """An agent's first message."""
 
     name: str
     incarnation: str
     data_centre: str
-    runs: tuple[RunRow, ...]
 
 
 class WorkerNews(Message, frozen=True, tag="W"):
-    """The worker's life; an empty ``id`` says that there is none."""
+    """The worker's life; an empty ``id`` says that there is none.
+
+    ``runs`` are those of this owner that are there now; any other one is over.
+    """
 
     id: str
     service: str
@@ -194,6 +204,7 @@
     memory_mb: int
     gpu: int
     labels: tuple[str, ...]
+    runs: tuple[RunRow, ...] = ()
 
 
 class RoomNews(Message, frozen=True, tag="R"):
@@ -292,6 +303,7 @@
     | EntryHello
     | EvacuationNews
     | MemberNews
+    | Reconciled
     | Starts
     | Stop
     | Wants
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -155,7 +155,7 @@
                 fleet.store.put("op", "evacuate/waco", {})
                 await wait_for_evacuated([entry], "waco")
                 sent.clear()
-                hello = AgentHello(name="new", incarnation="n", data_centre="waco", runs=())
+                hello = AgentHello(name="new", incarnation="n", data_centre="waco")
                 agent.receive([hello])
                 row = MemberRow(name="e9", incarnation="i", address="a:1", data_centre="waco")
                 peer.receive([PeerHello(member=row, jobs=())])
--- a/tests/fleet/test_said.py
+++ b/tests/fleet/test_said.py
@@ -30,6 +30,7 @@
         super().setUp()
         self.link = mock.Mock()
         self.session = OwnerSession(link=self.link, links=mock.Mock())
+        self.session.is_reconciled = True
 
     def ask(self, *, way_s: float) -> None:
         """Ask for the entry's clock; the question takes this long to arrive."""
@@ -48,6 +49,11 @@
     def test_before_the_entrys_clock_is_known_nothing_counts(self) -> None:
         self.assertEqual(float("inf"), self.say(ago_s=0.0))
 
+    def test_before_the_entry_has_compared_its_runs_nothing_counts(self) -> None:
+        self.ask(way_s=0.0)
+        self.session.is_reconciled = False
+        self.assertEqual(float("inf"), self.say(ago_s=0.0))
+
     def test_the_age_is_at_least_the_true_one_and_at_most_the_questions_way_more(self) -> None:
         self.ask(way_s=0.1)
         for ago_s in (0.0, 0.3, 2.0):
