Let calls to the emulated worker be lost, done late or answered late

Cause: the emulated worker could lose stops and carry starts out half a second late and more, when their leases were mostly over.

Change: each call draws a fate for its kind (served, answered late, unanswered, done late, lost), from draws of its own, so that older faults strike as before. `on_call` tells of each call as it arrives and once it was carried out.

--- a/dalemast/emulator/worker.py
+++ b/dalemast/emulator/worker.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -14,6 +14,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from dalemast.emulator.fates import ALL_SERVED, CallFates, CallKind, CallRecord, Fate
 from dalemast.emulator.runs import EmulatedRuns, Order
 from dalemast.http.client import HttpFailure, JsonClient
 from dalemast.http.server import bind_address, log_nothing
@@ -35,7 +36,11 @@
 LOOK_GRAIN_S = 0.005
 LATE_ORDER_S = (0.5, 2.0)
 """How much later than sent an order without an answer is carried out."""
-
+DONE_LATE_S = (0.02, 2.0)
+"""How late calls are done that meet :attr:`Fate.DONE_LATE`: some starts within their lease, most
+stops after they were said again."""
+ANSWERED_LATE_S = (0.02, 0.6)
+"""How late answers come that meet :attr:`Fate.ANSWERED_LATE`: callers wait from 0.04 s to 0.4 s."""
 UNANSWERED_S = 5.0
 """How long a call that gets no answer is held; every caller has given it up before."""
 
@@ -45,7 +50,8 @@
     """Shares of orders or runs that go wrong. ``slow`` multiplies run times.
 
     ``late_orders`` are starts that get no answer and are carried out later, ``lost_stops`` are
-    stops that get none and are never carried out.
+    stops that get none and are never carried out. ``starts``, ``stops`` and ``looks`` give the
+    fates of these calls, whatever else goes wrong.
     """
 
     fail: float = 0.0
@@ -53,15 +59,30 @@
     late_orders: float = 0.0
     lost_stops: float = 0.0
     slow: float = 1.0
+    starts: CallFates = ALL_SERVED
+    stops: CallFates = ALL_SERVED
+    looks: CallFates = ALL_SERVED
+
+    def get_fates(self, kind: CallKind) -> CallFates:
+        """Return the fates of one kind of call."""
+        return {
+            CallKind.START: self.starts,
+            CallKind.STOP: self.stops,
+            CallKind.LOOK: self.looks,
+        }[kind]
+
+
+Answer = tuple[int, ClockAnswer | HoldAnswer]
+Serve = Callable[[dict[str, Any]], Awaitable[Answer]]
 
 
 class CallHandler(RequestHandler):
     """One call of the agent."""
 
-    def initialize(self, worker: EmulatedWorker, serve: Callable[..., Any]) -> None:
+    def initialize(self, worker: EmulatedWorker, kind: CallKind) -> None:
         """Take what the routes give."""
         self._worker = worker
-        self._serve = serve
+        self._kind = kind
 
     async def post(self) -> None:
         """Serve the call unless it is meant for another life."""
@@ -70,7 +91,8 @@
             self.set_status(421)
             self.finish(b"{}")
             return
-        status, body = await self._serve(msgspec.json.decode(self.request.body))
+        call = msgspec.json.decode(self.request.body)
+        status, body = await self._worker.take_call(self._kind, call)
         self.set_status(status)
         self.finish(msgspec.json.encode(body))
 
@@ -92,6 +114,8 @@
         self._done: set[str] = set()
         self._faults = WorkerFaults()
         self._random = random.Random(7)
+        self._fate_random = random.Random(11)
+        """Draws of its own, so that fates leave the draws of older faults as they are."""
         self._client = JsonClient()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: HTTPServer | None = None
@@ -100,6 +124,8 @@
         """Every run that was started, in order: task and run."""
         self.on_start: Callable[[str], None] = lambda task: None
         """Called with each task that is started."""
+        self.on_call: Callable[[CallRecord], None] = lambda record: None
+        """Called with each call as it arrives, and again once it was carried out."""
 
     @property
     def life_id(self) -> str:
@@ -118,7 +144,7 @@
         self._done |= self._runs.done
         return task in self._done
 
-    def set_faults(self, **faults: float) -> None:
+    def set_faults(self, **faults: Any) -> None:
         """Change the faults."""
         self._faults = replace(self._faults, **faults)
 
@@ -128,9 +154,9 @@
         self._life_id = f"i-{self._service}-{self._number}-{self._lives}"
         self._runs = EmulatedRuns()
         routes = [
-            (START_PATH, CallHandler, {"worker": self, "serve": self._start_run}),
-            (STOP_PATH, CallHandler, {"worker": self, "serve": self._stop_run}),
-            (LOOK_PATH, CallHandler, {"worker": self, "serve": self._hold}),
+            (START_PATH, CallHandler, {"worker": self, "kind": CallKind.START}),
+            (STOP_PATH, CallHandler, {"worker": self, "kind": CallKind.STOP}),
+            (LOOK_PATH, CallHandler, {"worker": self, "kind": CallKind.LOOK}),
         ]
         self._server = HTTPServer(Application(routes, log_function=log_nothing))
         sockets, self._address = bind_address(self._address)
@@ -179,6 +205,38 @@
             # The agent may be down or restarting; the next report tells it all anew.
             return
 
+    async def take_call(self, kind: CallKind, call: dict[str, Any]) -> Answer:
+        """Let a call meet its fate; return what its caller gets, if it still waits."""
+        fate = self._faults.get_fates(kind).draw(self._fate_random)
+        record = CallRecord(kind=kind, task=call.get("task", ""), run=call.get("run", 0), fate=fate)
+        self.on_call(record)
+        if fate is Fate.DONE_LATE:
+            self._spawn(self._serve_late(record, call))
+        if fate in (Fate.DONE_LATE, Fate.LOST):
+            await asyncio.sleep(UNANSWERED_S)
+            return 503, self._make_answer("")
+        answer = await self._serve(record, call)
+        if fate is Fate.ANSWERED_LATE:
+            await asyncio.sleep(self._fate_random.uniform(*ANSWERED_LATE_S))
+        if fate is Fate.UNANSWERED:
+            await asyncio.sleep(UNANSWERED_S)
+        return answer
+
+    async def _serve_late(self, record: CallRecord, call: dict[str, Any]) -> None:
+        await asyncio.sleep(self._fate_random.uniform(*DONE_LATE_S))
+        await self._serve(record, call)
+
+    async def _serve(self, record: CallRecord, call: dict[str, Any]) -> Answer:
+        serves: dict[CallKind, Serve] = {
+            CallKind.START: self._start_run,
+            CallKind.STOP: self._stop_run,
+            CallKind.LOOK: self._hold,
+        }
+        status, body = await serves[record.kind](call)
+        reason = body.reason if isinstance(body, ClockAnswer) else ""
+        self.on_call(replace(record, reason=reason))
+        return status, body
+
     async def _start_run(self, call: dict[str, Any]) -> tuple[int, ClockAnswer]:
         if self._random.random() < self._faults.late_orders:
             self._spawn(self._start_late(call))
