Let the soak strike around orders, with long jobs and callers that hang up

Cause: the soak never lost stops or starts, never stopped several processes at once, never cut one agent off from one entry, and had no task that outlives these, so it could not show the incident.

Callers move to a module of their own, hang up now and then and come back 1.3 s later to any entry; two more submit tasks of 2 to 6 s. workers.log holds what reached the workers, beside the processes' logs. The proxy can cut some of its connections, whose ends then hear of nothing before the cut is over.

Ruled out: drawing from the older generator, which would change what older seeds strike with.

--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,122 @@
+"""Callers that submit jobs, hang up, and submit the same id again, to any entry."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from dalemast.http.client import HttpFailure
+from tests.fleet.base import HOST, PREFIX, STEP, make_text
+from tests.soak.cluster import Cluster
+from tests.soak.report import Report
+
+RESEND_S = 1.3
+"""How long a caller waits before it sends a job again that was broken off."""
+TRIES = 4
+HANG_UP_SHARE = 0.15
+"""Share of the tries, but for a job's last one, that a caller gives up while the job may run."""
+LEAST_PATIENCE_S = 0.05
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobKind:
+    """What the jobs of a caller are like: ranges to draw from, and how long it waits."""
+
+    tasks: tuple[int, int]
+    run_s: tuple[float, float]
+    estimate_ms: int
+    patience_s: float
+
+
+SHORT_JOBS = JobKind(
+    tasks=(1, 4), run_s=(0.05, 0.8), estimate_ms=STEP["estimate_ms"], patience_s=8.0
+)
+LONG_JOBS = JobKind(tasks=(1, 3), run_s=(2.0, 6.0), estimate_ms=4000, patience_s=20.0)
+
+
+class Caller:
+    """Submits one job after another until it is told to leave, and judges what became of each.
+
+    ``rng`` draws the jobs. Hang-ups are drawn apart, so that older seeds keep their jobs.
+    """
+
+    def __init__(
+        self, *, number: int, kind: JobKind, cluster: Cluster, report: Report, rng: random.Random
+    ) -> None:
+        self._number = number
+        self._kind = kind
+        self._cluster = cluster
+        self._report = report
+        self._rng = rng
+        self._hang_up_rng = random.Random(f"caller {number} of {report.seed}")
+        self._is_leaving = False
+
+    def leave(self) -> None:
+        """Submit no further job once the present one is judged."""
+        self._is_leaving = True
+
+    async def run(self) -> None:
+        """Submit jobs one after another."""
+        count = 0
+        while not self._is_leaving:
+            count += 1
+            await self._run_job(f"{self._number:04x}{count:012x}")
+            await asyncio.sleep(self._rng.uniform(0.0, 0.1))
+
+    async def _run_job(self, job_id: str) -> None:
+        """Submit a job as a caller does: again after a while if it is broken off."""
+        tasks = self._rng.randint(*self._kind.tasks)
+        run_s = self._rng.uniform(*self._kind.run_s)
+        body = {
+            "spec": make_text(run_s),
+            "steps": [{**STEP, "count": tasks, "estimate_ms": self._kind.estimate_ms}],
+            "best_effort": True,
+        }
+        self._report.jobs += 1
+        statuses = []
+        for tries_left in reversed(range(TRIES)):
+            patience_s = self._draw_patience_s(run_s) if tries_left else self._kind.patience_s
+            status, state = await self._submit(job_id, body, patience_s)
+            statuses.append(status)
+            if status not in (None, 502, 504):
+                break
+            await asyncio.sleep(RESEND_S)
+        self._judge(job_id, tasks, statuses, state)
+
+    def _draw_patience_s(self, run_s: float) -> float:
+        if self._hang_up_rng.random() >= HANG_UP_SHARE:
+            return self._kind.patience_s
+        self._report.hung_up += 1
+        return self._hang_up_rng.uniform(LEAST_PATIENCE_S, run_s)
+
+    async def _submit(self, job_id: str, body: Any, patience_s: float) -> tuple[int | None, str]:
+        address = self._rng.choice(self._cluster.callers)
+        try:
+            response = await self._cluster.client.request(
+                "POST",
+                f"http://{address}{PREFIX}{job_id}",
+                body=body,
+                headers={"Host": HOST},
+                timeout_s=patience_s,
+            )
+        except HttpFailure:
+            # Also when the last connection was refused: the client sends a request again by itself
+            # when a kept connection breaks, so an earlier one may have been read.
+            return None, ""
+        return response.status, response.decode(dict[str, Any]).get("state", "")
+
+    def _judge(self, job_id: str, tasks: int, statuses: list[int | None], state: str) -> None:
+        workers = self._cluster.workers
+        names = [f"{job_id}.0.0.{position}" for position in range(tasks)]
+        if state == "succeeded":
+            self._report.succeeded += 1
+            missing = [name for name in names if not any(w.has_done(name) for w in workers)]
+            if missing:
+                self._report.broken.append(f"{job_id} succeeded without {missing}")
+        if all(status == 503 for status in statuses):
+            self._report.refused += 1
+            started = [row for w in workers for row in w.started if row[0] in names]
+            if started:
+                self._report.broken.append(f"{job_id} was refused as not run and ran: {started}")
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -78,6 +78,8 @@
         self.agents: list[Program] = []
         self.callers: list[str] = []
         self.proxies: list[Proxy] = []
+        self.links: list[Proxy] = []
+        """Those of :attr:`proxies` that stand in front of entries."""
         self.client = JsonClient()
         self.version = 7
 
@@ -91,6 +93,7 @@
         for number in range(entries):
             address = find_address()
             proxy = await self._add_proxy(address)
+            self.links.append(proxy)
             links.append(proxy.address)
             self._add_entry(number, address, proxy.address, store.address)
         for number in range(workers):
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 import struct
 import time
@@ -43,6 +44,9 @@
         self._serving: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._open = {"up": asyncio.Event(), "down": asyncio.Event()}
+        self._passages: set[asyncio.Event] = set()
+        """One for each connection, set while it isn't cut."""
+        self._is_cutting = False
         self.delay_s = 0.0
         self.address = ""
         self._ticked_at = time.monotonic()
@@ -62,6 +66,7 @@
         """Stop and drop all connections."""
         self._server.close()
         self._ticker.cancel()
+        self.heal()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._serving, return_exceptions=True)
@@ -71,10 +76,18 @@
         for way in ways:
             self._open[way].clear()
 
+    def cut_some(self, share: float, rng: random.Random) -> None:
+        """Hold up a share of the open connections, and all new ones: those whom it strikes dial."""
+        self._is_cutting = True
+        for passage in self._passages:
+            if rng.random() < share:
+                passage.clear()
+
     def heal(self) -> None:
         """End all faults."""
         self.delay_s = 0.0
-        for event in self._open.values():
+        self._is_cutting = False
+        for event in [*self._open.values(), *self._passages]:
             event.set()
 
     def swallow_open(self) -> None:
@@ -111,11 +124,18 @@
         except OSError:
             writer.transport.abort()
             return
+        passage = asyncio.Event()
+        if not self._is_cutting:
+            passage.set()
+        self._passages.add(passage)
         ways = [("up", reader, onward[1]), ("down", onward[0], writer)]
-        tasks = [asyncio.create_task(self._pump(*way)) for way in ways]
+        tasks = [asyncio.create_task(self._pump(*way, passage)) for way in ways]
         self._tasks.update(tasks)
         self._writers.update((writer, onward[1]))
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        # The other end of a connection that is cut does not hear of its end before the cut is over.
+        await passage.wait()
+        self._passages.discard(passage)
         for task in tasks:
             task.cancel()
             self._tasks.discard(task)
@@ -124,7 +144,11 @@
             end.close()
 
     async def _pump(
-        self, way: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        way: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        passage: asyncio.Event,
     ) -> None:
         generation = self._generation
         with contextlib.suppress(OSError, asyncio.CancelledError):
@@ -135,6 +159,7 @@
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 await self._open[way].wait()
+                await passage.wait()
                 if generation < self._generation:
                     continue
                 if reader.exception() is not None:
--- /dev/null
+++ b/tests/soak/report.py
@@ -0,0 +1,23 @@
+"""What a run of the soak saw."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(kw_only=True)
+class Report:
+    """What a run saw. ``broken`` has a line for each promise that was broken."""
+
+    seed: int
+    jobs: int = 0
+    succeeded: int = 0
+    refused: int = 0
+    hung_up: int = 0
+    faults: list[str] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+
+    def __str__(self) -> str:
+        head = f"seed {self.seed}: {self.jobs} jobs, {self.succeeded} succeeded, "
+        head += f"{self.refused} refused, {self.hung_up} left, {len(self.faults)} faults"
+        return "\n".join([head, *(f"  BROKEN {line}" for line in self.broken)])
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,44 +6,26 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
-from typing import Any
 
-from dalemast.emulator import EmulatedWorker
-from dalemast.http.client import HttpFailure
-from tests.fleet.base import HOST, PREFIX, STEP, make_text
+from dalemast.emulator import CallRecord, EmulatedWorker
+from tests.soak.callers import LONG_JOBS, SHORT_JOBS, Caller
 from tests.soak.cluster import SPARED, Cluster, Program
+from tests.soak.orders import OrderFaults
 from tests.soak.proxy import Proxy
+from tests.soak.report import Report
+from tests.soak.trace import Trace
 
-RESEND_S = 1.3
-"""How long a caller waits before it sends a job again that was broken off."""
-TRIES = 4
-CALLER_TIMEOUT_S = 8.0
 CALM_S = 25.0
 """Longest time after the last fault until every entry serves again."""
 CALLERS = 6
+LONG_CALLERS = 2
+"""Callers whose tasks go on while links are cut, processes stand still and stops are lost."""
 SPARED_S = 1.0
 """How long the workers of an evacuated data centre are watched once every process knows."""
 
 
-@dataclass(kw_only=True)
-class Report:
-    """What a run saw. ``broken`` has a line for each promise that was broken."""
-
-    seed: int
-    jobs: int = 0
-    succeeded: int = 0
-    refused: int = 0
-    faults: list[str] = field(default_factory=list)
-    broken: list[str] = field(default_factory=list)
-
-    def __str__(self) -> str:
-        head = f"seed {self.seed}: {self.jobs} jobs, {self.succeeded} succeeded, "
-        head += f"{self.refused} refused, {len(self.faults)} faults"
-        return "\n".join([head, *(f"  BROKEN {line}" for line in self.broken)])
-
-
 class Soak:
     """One run."""
 
@@ -51,10 +33,12 @@
         self._rng = random.Random(seed)
         self._operator_rng = random.Random(f"evacuations of {seed}")
         """Draws of its own, so that a seed that once failed still strikes with the same faults."""
+        self._long_rng = random.Random(f"long jobs of {seed}")
         self._cluster = Cluster(folder=folder, entries=entries, workers=workers)
         self._report = Report(seed=seed)
+        self._orders = OrderFaults(cluster=self._cluster, seed=seed)
+        self._trace = Trace(folder=folder)
         self._versions: dict[str, tuple[str, int]] = {}
-        self._is_over = False
         self._crashed: set[EmulatedWorker] = set()
         """Workers that are down: an overlapping fault must not start them twice on one port."""
 
@@ -63,83 +47,48 @@
         cluster = self._cluster
         await cluster.start()
         try:
-            for worker in cluster.workers:
+            for number, worker in enumerate(cluster.workers):
                 worker.on_start = self._check_alone
+                worker.on_call = partial(self._take_call, number)
             await self._wait_for_calm("at the start")
-            callers = [asyncio.create_task(self._call_forever(n)) for n in range(CALLERS)]
+            callers = self._make_callers()
+            calling = [asyncio.create_task(caller.run()) for caller in callers]
             watch = asyncio.create_task(self._watch_versions())
             evacuations = asyncio.create_task(self._evacuate_now_and_then())
-            await self._strike_for(seconds)
+            await asyncio.gather(self._strike_for(seconds), self._orders.strike_for(seconds))
             evacuations.cancel()
             cluster.take_back()
             await self._wait_for_calm("after the faults")
             await self._check_evacuation()
-            self._is_over = True
-            await asyncio.gather(*callers)
+            for caller in callers:
+                caller.leave()
+            await asyncio.gather(*calling)
             watch.cancel()
         finally:
             await cluster.close()
+            self._trace.close()
+        self._report.faults += self._orders.struck
         return self._report
 
-    def _check_alone(self, task: str) -> None:
-        running = sum(task in worker.active_tasks for worker in self._cluster.workers)
-        if running > 1:
-            self._report.broken.append(f"two runs of {task} at the same time")
-
-    async def _call_forever(self, number: int) -> None:
-        count = 0
-        while not self._is_over:
-            count += 1
-            await self._run_job(f"{number:04x}{count:012x}")
-            await asyncio.sleep(self._rng.uniform(0.0, 0.1))
+    def _make_callers(self) -> list[Caller]:
+        """Make callers of short jobs, and some of long ones with draws of their own."""
+        kinds = [SHORT_JOBS] * CALLERS + [LONG_JOBS] * LONG_CALLERS
+        rngs = [self._rng] * CALLERS + [self._long_rng] * LONG_CALLERS
+        return [
+            Caller(number=number, kind=kind, cluster=self._cluster, report=self._report, rng=rng)
+            for number, (kind, rng) in enumerate(zip(kinds, rngs, strict=True))
+        ]
 
-    async def _run_job(self, job_id: str) -> None:
-        """Submit a job as a caller does: again after a while if it is broken off."""
-        tasks = self._rng.randint(1, 4)
-        body = {
-            "spec": make_text(self._rng.uniform(0.05, 0.8)),
-            "steps": [{**STEP, "count": tasks}],
-            "best_effort": True,
-        }
-        self._report.jobs += 1
-        statuses = []
-        for _ in range(TRIES):
-            status, state = await self._submit(job_id, body)
-            statuses.append(status)
-            if status not in (None, 502, 504):
-                break
-            await asyncio.sleep(RESEND_S)
-        self._judge(job_id, tasks, statuses, state)
+    def _take_call(self, number: int, record: CallRecord) -> None:
+        self._trace.note_call(number, record)
+        self._orders.take_call(self._cluster.workers[number], record)
 
-    async def _submit(self, job_id: str, body: Any) -> tuple[int | None, str]:
-        address = self._rng.choice(self._cluster.callers)
-        try:
-            response = await self._cluster.client.request(
-                "POST",
-                f"http://{address}{PREFIX}{job_id}",
-                body=body,
-                headers={"Host": HOST},
-                timeout_s=CALLER_TIMEOUT_S,
-            )
-        except HttpFailure:
-            # Also when the last connection was refused: the client sends a request again by itself
-            # when a kept connection breaks, so an earlier one may have been read.
-            return None, ""
-        return response.status, response.decode(dict[str, Any]).get("state", "")
-
-    def _judge(self, job_id: str, tasks: int, statuses: list[int | None], state: str) -> None:
+    def _check_alone(self, task: str) -> None:
         workers = self._cluster.workers
-        names = [f"{job_id}.0.0.{position}" for position in range(tasks)]
-        if state == "succeeded":
-            self._report.succeeded += 1
-            missing = [name for name in names if not any(w.has_done(name) for w in workers)]
-            if missing:
-                self._report.broken.append(f"{job_id} succeeded without {missing}")
-        if all(status == 503 for status in statuses):
-            self._report.refused += 1
-            started = [row for w in workers for row in w.started if row[0] in names]
-            if started:
-                self._report.broken.append(f"{job_id} was refused as not run and ran: {started}")
+        running = [number for number, worker in enumerate(workers) if task in worker.active_tasks]
+        if len(running) > 1:
+            self._report.broken.append(f"two runs of {task} at the same time on {running}")
+            self._trace.note_broken(task, running)
 
     async def _watch_versions(self) -> None:
         """Check that within one life of an entry its configuration never goes back."""
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 
 from tests.base import AsyncTestCase
@@ -70,3 +71,31 @@
 
     def test_bytes_arrive_if_their_sender_closes_it(self) -> None:
         self.assertEqual(b"held up", self.run_async(self._pass_on(resets=False)))
+
+    def test_a_cut_holds_up_the_end_of_a_connection_too(self) -> None:
+        """Both ends learn of it once the cut is over, as if no packet had passed."""
+
+        async def scenario() -> None:
+            ended = asyncio.Event()
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await reader.read()
+                ended.set()
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            proxy = Proxy(target=f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+            await proxy.start()
+            host, port = proxy.address.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            await asyncio.sleep(0.05)
+            proxy.cut_some(1.0, random.Random(1))
+            reset_connection(writer)
+            await asyncio.sleep(0.05)
+            self.assertFalse(ended.is_set())
+            proxy.heal()
+            await ended.wait()
+            await proxy.close()
+            server.close()
+
+        self.run_async(scenario())
--- /dev/null
+++ b/tests/soak/trace.py
@@ -0,0 +1,41 @@
+"""What reached the workers, in the form of the processes' logs: to be read beside them."""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+
+from dalemast.emulator import CallKind, CallRecord, Fate
+
+
+class Trace:
+    """Writes workers.log in a run's folder. Looks that are served at once are left out."""
+
+    def __init__(self, *, folder: Path) -> None:
+        self._file = (folder / "workers.log").open("a")
+
+    def note_call(self, worker: int, record: CallRecord) -> None:
+        """Note a call as it arrives, and once it was carried out."""
+        if record.kind is CallKind.LOOK and record.fate is Fate.SERVED:
+            return
+        self._write(
+            worker=worker,
+            call=record.kind.value,
+            task=record.task,
+            run=record.run,
+            fate=record.fate.value,
+            done=record.reason is not None,
+            reason=record.reason or "",
+        )
+
+    def note_broken(self, task: str, workers: list[int]) -> None:
+        """Note that a task runs on several workers."""
+        self._write(broken=task, workers=workers)
+
+    def close(self) -> None:
+        """Write what is left."""
+        self._file.close()
+
+    def _write(self, **fields: object) -> None:
+        self._file.write(json.dumps({"timestamp": time.time(), **fields}) + "\n")
