--- a/dalemast/core/supervision/base.py
+++ b/dalemast/core/supervision/base.py
@@ -24,7 +24,8 @@
 class WorkerLife:
     """A worker's account of itself. ``id`` is new with each of its lives.
 
-    ``remaining_s`` is the least time it has left while it leaves, if it says so.
+    ``remaining_s`` is the least time it has left while it leaves, if it says so. ``clock_s`` is the
+    worker's steady clock as it reported, in seconds, if it did.
     """
 
     id: str
@@ -34,11 +35,15 @@
     labels: frozenset[str]
     is_leaving: bool
     remaining_s: float | None = None
+    clock_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartRequest:
-    """An owner's wish to start a task. ``number`` counts that owner's starts on this link."""
+    """An owner's wish to start a task. ``number`` counts that owner's starts on this link.
+
+    ``said_at`` is when the owner said so at the earliest, by the agent's steady clock in seconds.
+    """
 
     owner: str
     run_id: RunId
@@ -46,6 +51,11 @@
     resources: Resources
     expected_s: float
     number: int
+    said_at: float
+
+    def is_same(self, other: StartRequest) -> bool:
+        """Tell whether both are one wish of one owner, and not those of two submissions."""
+        return (self.owner, self.number) == (other.owner, other.number)
 
 
 class StartOutcome(enum.Enum):
