--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,8 +20,8 @@
 88993, 914339 and 517246, at 15 s and 4 workers, told of two runs since the proxy delivered bytes
 whose sender had reset the connection: tests/soak/test_proxy.py.
 640687: tests/emulator/test_worker.py.
-275726, 33046 and 52313, at 20 s and 4 workers, ran tasks twice: an agent that had stood still went on
-with its tries at starts, with leases from the present.
+275726, 33046 and 52313, at 20 s and 4 workers, ran tasks twice: an agent that had stood still went
+on with its tries at starts, with leases from the present.
 106164 and 227739, likewise: tests/fleet/test_strays.py.
 416675, likewise: a start that a cut had held up was acted on after its entry had been killed.
 """
