Reproduce ids that are freed while a run of theirs goes on: three tests that fail

Cause: the desk counts the stops of a job that was given up, and the end of any run of its id takes one off: of an older run on a worker that was out of reach, or of one end that is said twice. A run that an agent lists after its link is back prolongs nothing, though the owner's words have prolonged the run. Ruled out: an end counted for a job that is still open; only ended jobs were counted.

--- /dev/null
+++ b/tests/fleet/test_desk.py
@@ -0,0 +1,180 @@
+"""Where a job is at its entry, and when its id is free for another submission."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from unittest import mock
+
+from dalemast.core.ownership import Granted, Held
+from dalemast.core.scheduling import (
+    EndReason,
+    FastestPlacement,
+    LeastSlackOrder,
+    RoomReport,
+    Scheduler,
+    SchedulerLimits,
+    StartTask,
+    StopTask,
+    WorkerView,
+)
+from dalemast.core.workloads import Resources, TaskKey
+from dalemast.fleet.base import JobDropped
+from dalemast.fleet.entry.desk import JobDesk
+from dalemast.fleet.frames import RunEnded, RunRow
+from dalemast.fleet.timing import FleetTimes
+from dalemast.observability import Metrics
+from tests.base import AsyncTestCase, wait_until
+from tests.core.scheduling.base import make_job, make_step
+
+JOB = "00000000000000dd"
+TIMES = FleetTimes()
+KEY = TaskKey(0, 0)
+
+
+class FakeClaims:
+    """Grants claims, or keeps each caller waiting for its answer."""
+
+    def __init__(self) -> None:
+        self.is_held_up = False
+        self.result: Granted | Held = Granted()
+        self.waiting: list[asyncio.Future[Granted | Held]] = []
+        self.log: list[str] = []
+
+    async def claim(self, job_id: str) -> Granted | Held:
+        if self.is_held_up:
+            self.waiting.append(asyncio.get_running_loop().create_future())
+            return await self.waiting[-1]
+        self._note(self.result)
+        return self.result
+
+    def release(self, job_id: str) -> None:
+        self.log.append("released")
+
+    def answer(self, number: int, result: Granted | Held) -> None:
+        self._note(result)
+        self.waiting[number].set_result(result)
+
+    def _note(self, result: Granted | Held) -> None:
+        self.log.append("granted" if isinstance(result, Granted) else "held")
+
+
+class DeskTestCase(AsyncTestCase):
+    """A desk whose agents and claims are played by hand."""
+
+    def make_desk(self, *workers: str) -> JobDesk:
+        self.now = time.monotonic()
+        self.starts: list[StartTask] = []
+        self.stops: list[StopTask] = []
+        self.claims = FakeClaims()
+        self.scheduler = Scheduler(
+            order=LeastSlackOrder(),
+            placement=FastestPlacement(remote_factor=1.5),
+            limits=SchedulerLimits(lost_run_s=TIMES.lost_run_s),
+            started_at=self.now,
+        )
+        desk = JobDesk(
+            scheduler=self.scheduler,
+            times=TIMES,
+            metrics=Metrics(),
+            send=self._send,
+            ask=lambda asked: None,
+        )
+        desk.set_claims(self.claims)
+        for worker in workers:
+            desk.apply(self.add_worker(worker))
+        return desk
+
+    def add_worker(self, name: str) -> list[object]:
+        capacity = Resources(cpu=4000, memory_mb=65536)
+        view = WorkerView(
+            name=name, service="floor", capacity=capacity, labels=frozenset(), is_near=True
+        )
+        self.scheduler.add_worker(view, now=self.now)
+        report = RoomReport(seen=0, free=capacity, is_accepting=True)
+        return self.scheduler.update_worker(name, report, now=self.now)
+
+    def end_run(self, desk: JobDesk, *, run: int, worker: str, key: TaskKey = KEY) -> None:
+        """Tell the desk of a run's end, as the links with agents do."""
+        row = RunRow(job=JOB, step=key.step, position=key.position, run=run)
+        news = RunEnded(run=row, reason=EndReason.STOPPED, run_s=0.0)
+        desk.note_end(news)
+
+    async def submit(self, desk: JobDesk, *, count: int = 1) -> asyncio.Task[object]:
+        """Submit a job and return once it is placed."""
+        begun = len(self.starts)
+        job = asyncio.ensure_future(desk.run(make_job(JOB, make_step(count))))
+        await wait_until(lambda: len(self.starts) == begun + count, "the starts")
+        return job
+
+    def _send(self, starts: list[StartTask], stops: list[StopTask]) -> None:
+        self.starts += starts
+        self.stops += stops
+
+
+class EndingTests(DeskTestCase):
+    """An id is free once each run that was stopped has ended.
+
+    The stops of a job that was given up were counted, and each end of a run of that id took one
+    off. An agent that was out of reach for a while may tell of the end of an older run, while a
+    newer one is still being stopped elsewhere: the id was freed, and the job began at another entry
+    while it ran here.
+    """
+
+    def test_the_end_of_another_run_frees_nothing(self) -> None:
+        async def scenario() -> None:
+            desk = self.make_desk("w1")
+            job = await self.submit(desk)
+            desk.apply(self.scheduler.lose_worker("w1", now=self.now))
+            desk.apply(self.add_worker("w2"))
+            later = self.now + TIMES.lost_run_s
+            desk.tick(later)
+            self.assertEqual([("w1", 1), ("w2", 2)], [(s.worker, s.run) for s in self.starts])
+            desk.leave(JOB)
+            self.end_run(desk, run=1, worker="w1")
+            self.assertTrue(desk.has_open(JOB))
+            self.assertEqual(["granted"], self.claims.log)
+            self.end_run(desk, run=2, worker="w2")
+            self.assertFalse(desk.has_open(JOB))
+            self.assertEqual(["granted", "released"], self.claims.log)
+            self.assertIsInstance(await job, JobDropped)
+
+        self.run_async(scenario())
+
+    def test_an_end_that_is_said_twice_frees_nothing(self) -> None:
+        async def scenario() -> None:
+            desk = self.make_desk("w1")
+            job = await self.submit(desk, count=2)
+            desk.leave(JOB)
+            for _ in range(2):
+                self.end_run(desk, run=1, worker="w1")
+            self.assertTrue(desk.has_open(JOB))
+            self.end_run(desk, run=1, worker="w1", key=TaskKey(0, 1))
+            self.assertFalse(desk.has_open(JOB))
+            await job
+
+        self.run_async(scenario())
+
+    def test_a_run_that_is_found_again_is_waited_for_anew(self) -> None:
+        """An agent that is back lists a run of the job that was given up, so it is not over.
+
+        The owner's words to that agent have prolonged it meanwhile, so its time counts from the
+        stop that is said now.
+        """
+
+        async def scenario() -> None:
+            desk = self.make_desk("w1")
+            job = await self.submit(desk)
+            dropped_at = time.monotonic()
+            desk.leave(JOB)
+            found_at = dropped_at + 0.9 * TIMES.lost_run_s
+            with mock.patch("dalemast.fleet.entry.desk.time.monotonic", return_value=found_at):
+                desk.apply(self.scheduler.reconcile("w1", [(JOB, KEY, 1)], now=found_at))
+            self.assertEqual([1, 1], [stop.run for stop in self.stops])
+            desk.tick(dropped_at + TIMES.lost_run_s + 0.1)
+            self.assertTrue(desk.has_open(JOB))
+            desk.tick(found_at + TIMES.lost_run_s + 0.1)
+            self.assertFalse(desk.has_open(JOB))
+            await job
+
+        self.run_async(scenario())
