Free an id once each of its runs that were stopped has ended

Cause: the desk counted stops, and the end of any run of the id took one off, so that an id could be freed, and granted to another entry, while a run of it was still being stopped. Change: the desk keeps which runs are being stopped, by worker, task and number, each with the time at which it is surely over. A run that an agent lists later is stopped and waited for anew. Ruled out: telling runs apart by number alone, since numbers begin again with a new submission.

--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -61,7 +61,7 @@
         evacuations: EvacuationsInForce,
         times: FleetTimes,
         apply: Apply,
-        note_end: Callable[[RunEnded], None],
+        note_end: Callable[[RunEnded, str], None],
     ) -> None:
         self._member = member
         self._book = book
@@ -251,7 +251,7 @@
                 reason=news.reason.value,
                 run_s=round(news.run_s, 3),
             )
-        self._note_end(news)
+        self._note_end(news, session.worker)
         actions = self._scheduler.end_run(
             session.worker,
             row.job,
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -19,7 +19,7 @@
     StartTask,
     StopTask,
 )
-from dalemast.core.workloads import JobRequest
+from dalemast.core.workloads import JobRequest, TaskKey
 from dalemast.fleet.base import JobDone, JobDropped, JobOutcome, JobTurnedAway
 from dalemast.fleet.frames import RunEnded
 from dalemast.fleet.timing import FleetTimes
@@ -82,8 +82,8 @@
         self._ask = ask
         self._claims: ClaimKeeper | None = None
         self._open: dict[str, OpenJob] = {}
-        self._ending: dict[str, tuple[int, float]] = {}
-        """Ids of ended jobs with stops under way: how many, and when they are surely over."""
+        self._ending: dict[str, dict[StopTask, float]] = {}
+        """By ended job, which of its runs are being stopped, and when each is surely over."""
 
     def __len__(self) -> int:
         return len(self._open)
@@ -142,12 +142,10 @@
         starts = [action for action in actions if isinstance(action, StartTask)]
         stops = [action for action in actions if isinstance(action, StopTask)]
         self._send(starts, stops)
-        ended_stops: dict[str, int] = {}
-        for stop in stops:
-            ended_stops[stop.job_id] = ended_stops.get(stop.job_id, 0) + 1
+        self._prolong(stops)
         for action in actions:
             if isinstance(action, JobFinished):
-                self._finish(action, ended_stops.get(action.job.id, 0))
+                self._finish(action, [stop for stop in stops if stop.job_id == action.job.id])
             elif isinstance(action, JobRefused):
                 self._refuse(action)
             elif isinstance(action, AskRoom):
@@ -155,24 +153,21 @@
             elif isinstance(action, RunPresumedOver):
                 self._note_presumed_over(action)
 
-    def note_end(self, news: RunEnded) -> None:
-        """Note that a run has ended; the last one of an ended job frees its id."""
-        ending = self._ending.get(news.run.job)
-        if ending is None:
-            return
-        left, over_at = ending
-        if left > 1:
-            self._ending[news.run.job] = (left - 1, over_at)
-            return
-        del self._ending[news.run.job]
-        self._release(news.run.job)
+    def note_end(self, news: RunEnded, worker: str) -> None:
+        """Note that a run has ended; the last one of an ended job frees its id.
+
+        Runs are told apart by worker, task and number. Ends of a job's other runs may come at any
+        time: an agent that was out of reach tells of them once it is back.
+        """
+        row = news.run
+        key = TaskKey(row.step, row.position)
+        self._note_over(StopTask(worker=worker, job_id=row.job, task=key, run=row.run))
 
     def tick(self, now: float) -> None:
         """Let time pass: free ids whose runs are surely over, and let the scheduler decide."""
-        for job_id, (_, over_at) in list(self._ending.items()):
-            if now >= over_at:
-                del self._ending[job_id]
-                self._release(job_id)
+        for runs in list(self._ending.values()):
+            for run in [run for run, over_at in runs.items() if now >= over_at]:
+                self._note_over(run)
         self.apply(self._scheduler.tick(now=now))
         self._log_overdue(now)
 
@@ -242,10 +237,10 @@
         self._metrics.count(f"jobs.dropped.{cause.replace(' ', '-')}")
         job.resolve(JobDropped(cause=cause))
         if job.is_submitted:
-            self._end(job_id, len(stops))
+            self._end(job_id, stops)
         # A room that was freed is used at the agent's next report.
 
-    def _finish(self, action: JobFinished, stops: int) -> None:
+    def _finish(self, action: JobFinished, stops: list[StopTask]) -> None:
         job = self._open.pop(action.job.id, None)
         self._end(action.job.id, stops)
         if job is None:
@@ -305,13 +300,31 @@
             lost_s=round(action.lost_s, 3),
         )
 
-    def _end(self, job_id: str, stops: int) -> None:
-        """Free a job's id, once its stops are confirmed."""
-        if stops:
-            over_at = time.monotonic() + self._times.lost_run_s
-            self._ending[job_id] = (stops, over_at)
-        else:
+    def _end(self, job_id: str, stops: list[StopTask]) -> None:
+        """Free a job's id, once its stops are confirmed or its runs have ended by themselves."""
+        if not stops:
             self._release(job_id)
+            return
+        over_at = time.monotonic() + self._times.lost_run_s
+        self._ending[job_id] = dict.fromkeys(stops, over_at)
+
+    def _prolong(self, stops: list[StopTask]) -> None:
+        """Wait anew for runs of ended jobs that an agent lists still: they are stopped by now only.
+
+        Any word of this entry to that agent has prolonged them meanwhile.
+        """
+        over_at = time.monotonic() + self._times.lost_run_s
+        for stop in stops:
+            if stop.job_id in self._ending:
+                self._ending[stop.job_id][stop] = over_at
+
+    def _note_over(self, run: StopTask) -> None:
+        """Take a run off those that are being stopped; the last one frees the id."""
+        runs = self._ending.get(run.job_id, {})
+        if runs.pop(run, None) is None or runs:
+            return
+        del self._ending[run.job_id]
+        self._release(run.job_id)
 
     def _release(self, job_id: str) -> None:
         assert self._claims is not None
--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -98,7 +98,7 @@
         """Tell the desk of a run's end, as the links with agents do."""
         row = RunRow(job=JOB, step=key.step, position=key.position, run=run)
         news = RunEnded(run=row, reason=EndReason.STOPPED, run_s=0.0)
-        desk.note_end(news)
+        desk.note_end(news, worker)
 
     async def submit(self, desk: JobDesk, *, count: int = 1) -> asyncio.Task[object]:
         """Submit a job and return once it is placed."""
@@ -155,6 +155,19 @@
 
         self.run_async(scenario())
 
+    def test_the_same_run_on_another_worker_frees_nothing(self) -> None:
+        """Run numbers begin again with a new submission of an id."""
+
+        async def scenario() -> None:
+            desk = self.make_desk("w1")
+            job = await self.submit(desk)
+            desk.leave(JOB)
+            self.end_run(desk, run=1, worker="w2")
+            self.assertTrue(desk.has_open(JOB))
+            await job
+
+        self.run_async(scenario())
+
     def test_a_run_that_is_found_again_is_waited_for_anew(self) -> None:
         """An agent that is back lists a run of the job that was given up, so it is not over.
 
