Reproduce claims that outlive or undo one another at one entry: two tests that fail

Cause: a submission whose caller hangs up while its id is being claimed finds the next one in its place when the answer comes, and releases the id that both have claimed: another entry is granted it beside the run here. Where its claim is refused by one entry and granted by others, those are never told. Ruled out: the next submission's claim as its protection; it goes out before that release.

--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -191,3 +191,46 @@
             await job
 
         self.run_async(scenario())
+
+
+class ClaimTests(DeskTestCase):
+    """A claim belongs to one submission, whenever its answer comes.
+
+    A caller hung up while its claim was under way, and the job came again to the same entry. The
+    answer to the first claim then found another submission in its place and released the id, which
+    the second had claimed as well: another entry was granted it while the job ran here.
+    """
+
+    def test_a_claim_that_came_too_late_does_not_release_the_next_ones(self) -> None:
+        async def scenario() -> None:
+            desk = self.make_desk("w1")
+            self.claims.is_held_up = True
+            first = asyncio.ensure_future(desk.run(make_job(JOB)))
+            await wait_until(lambda: len(self.claims.waiting) == 1, "the first claim")
+            desk.leave(JOB)
+            second = asyncio.ensure_future(desk.run(make_job(JOB)))
+            await wait_until(lambda: len(self.claims.waiting) == 2, "the second claim")
+            self.claims.answer(0, Granted())
+            self.claims.answer(1, Granted())
+            await wait_until(lambda: len(self.starts) == 1, "the start")
+            self.assertIsInstance(await first, JobDropped)
+            self.assertEqual(["granted", "granted"], self.claims.log)
+            desk.leave(JOB)
+            await second
+
+        self.run_async(scenario())
+
+    def test_what_was_granted_to_a_caller_that_hung_up_is_released(self) -> None:
+        """Some entries may have granted a claim that another one refused."""
+
+        async def scenario() -> None:
+            desk = self.make_desk("w1")
+            self.claims.is_held_up = True
+            job = asyncio.ensure_future(desk.run(make_job(JOB)))
+            await wait_until(lambda: len(self.claims.waiting) == 1, "the claim")
+            desk.leave(JOB)
+            self.claims.answer(0, Held(owner="o2", free_at=None))
+            await job
+            self.assertEqual(["held", "released"], self.claims.log)
+
+        self.run_async(scenario())
