Release a claim only if no other submission of its id is open here

Cause: the answer to a claim was taken as the first submission's alone. If its caller had left and the job had come again, the claim of the next submission was released; if the claim was refused, what other entries had granted was kept for good. Change: once the answer is there, a submission whose caller has left releases the id, unless it is open here or its runs are being stopped. Ruled out: numbering claims by submission; the home knows one claim an entry, and needs no more.

--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -112,14 +112,13 @@
         job = OpenJob(request=request, arrived_at=now)
         self._open[request.id] = job
         refusal = await self._claim(job)
-        if refusal is not None:
-            if self._open.get(request.id) is job:
-                del self._open[request.id]
-                self._release(request.id)
-            job.resolve(refusal)
-            return await job.answer
         if self._open.get(request.id) is not job:
+            self._release_unless_reused(request.id)
+            return await job.answer
+        if refusal is not None:
+            del self._open[request.id]
             self._release(request.id)
+            job.resolve(refusal)
             return await job.answer
         job.is_submitted = True
         job.submitted_at = time.monotonic()
@@ -326,6 +325,14 @@
         del self._ending[run.job_id]
         self._release(run.job_id)
 
+    def _release_unless_reused(self, job_id: str) -> None:
+        """Free an id that was claimed for a caller that has left meanwhile.
+
+        The job may have come again: then the claim is the next submission's as well.
+        """
+        if not self.has_open(job_id):
+            self._release(job_id)
+
     def _release(self, job_id: str) -> None:
         assert self._claims is not None
         self._claims.release(job_id)
