Reproduce a waiting job whose claim lapsed while its entry stood still: a test that fails

Cause: an entry that stood still gives up what has begun, and keeps what waits for room. Its claims lapse meanwhile at their homes, so the same job may run at another entry when it begins here. Ruled out: the goodbye of its caller as a protection; one that is cut off says none.

--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -19,7 +19,7 @@
     WorkerView,
 )
 from dalemast.core.workloads import Resources, TaskKey
-from dalemast.fleet.base import JobDropped
+from dalemast.fleet.base import JobDropped, JobTurnedAway
 from dalemast.fleet.entry.desk import JobDesk
 from dalemast.fleet.frames import RunEnded, RunRow
 from dalemast.fleet.timing import FleetTimes
@@ -234,3 +234,38 @@
             self.assertEqual(["held", "released"], self.claims.log)
 
         self.run_async(scenario())
+
+
+class StandstillTests(DeskTestCase):
+    """A job that waits while its entry stands still may have been claimed elsewhere meanwhile.
+
+    Its claim lapses at its home once the entry was out of reach for long enough. Only what had
+    begun was given up afterwards: a job that had waited for room began then, beside the run of
+    the entry that the id had been granted to.
+    """
+
+    def test_what_waited_is_turned_away_if_its_claim_may_have_lapsed(self) -> None:
+        async def scenario() -> None:
+            desk = self.make_desk()
+            desk.tick(self.now)
+            job = asyncio.ensure_future(desk.run(make_job(JOB)))
+            await wait_until(lambda: bool(self.scheduler.open_jobs), "the job to wait")
+            desk.abandon_begun(self.now + TIMES.lost_run_s)
+            self.assertIsInstance(await asyncio.wait_for(job, 1.0), JobTurnedAway)
+            self.assertEqual({}, self.scheduler.open_jobs)
+            self.assertEqual(["granted", "released"], self.claims.log)
+
+        self.run_async(scenario())
+
+    def test_what_waited_goes_on_waiting_if_its_claim_can_not_have_lapsed(self) -> None:
+        async def scenario() -> None:
+            desk = self.make_desk()
+            desk.tick(self.now)
+            job = asyncio.ensure_future(desk.run(make_job(JOB)))
+            await wait_until(lambda: bool(self.scheduler.open_jobs), "the job to wait")
+            desk.abandon_begun(self.now + TIMES.silence_s)
+            self.assertEqual([JOB], list(self.scheduler.open_jobs))
+            desk.leave(JOB)
+            await job
+
+        self.run_async(scenario())
