Turn away what waited while its entry stood still for longer than claims last

Cause: after a standstill an entry kept its waiting jobs, though their claims lapse at other entries once it was out of reach for the time of a lost run. Change: from a standstill of that time on, counted from the last tick, waiting jobs are turned away as not run and may come again at once. Shorter ones change nothing: no claim can have lapsed by then. Ruled out: claiming them anew in place; right after a standstill no other entry may be in reach, and an entry alone would grant the ids to itself.

--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -32,6 +32,9 @@
 CLAIM_PATIENCE_S = 1.5
 """How long an id that is held elsewhere is waited for: its owner's runs end within the time of
 :attr:`FleetTimes.lost_run_s`."""
+STOOD_STILL = "the entry stood still"
+STOOD_STILL_RETRY_S = 0.1
+"""When the caller of a job that waited meanwhile may come back."""
 
 
 class ClaimKeeper(Protocol):
@@ -81,6 +84,7 @@
         self._send = send
         self._ask = ask
         self._claims: ClaimKeeper | None = None
+        self._ticked_at = time.monotonic()
         self._open: dict[str, OpenJob] = {}
         self._ending: dict[str, dict[StopTask, float]] = {}
         """By ended job, which of its runs are being stopped, and when each is surely over."""
@@ -164,6 +168,7 @@
 
     def tick(self, now: float) -> None:
         """Let time pass: free ids whose runs are surely over, and let the scheduler decide."""
+        self._ticked_at = now
         for runs in list(self._ending.values()):
             for run in [run for run, over_at in runs.items() if now >= over_at]:
                 self._note_over(run)
@@ -193,10 +198,20 @@
             )
 
     def abandon_begun(self, now: float) -> None:
-        """Drop what has begun, after this process stood still: the runs were stopped meanwhile."""
+        """Drop what has begun, after this process stood still: the runs were stopped meanwhile.
+
+        What waits is turned away if it stood still for so long that claims of its have lapsed: the
+        ids may have been granted to other entries.
+        """
+        may_have_lapsed = now - self._ticked_at >= self._times.lost_run_s
         for job_id, job in list(self._open.items()):
-            if job.is_submitted and self._scheduler.open_jobs[job_id].has_begun:
-                self._drop(job_id, "the entry stood still")
+            if not job.is_submitted:
+                continue
+            if self._scheduler.open_jobs[job_id].has_begun:
+                self._drop(job_id, STOOD_STILL)
+            elif may_have_lapsed:
+                job.resolve(JobTurnedAway(cause=STOOD_STILL, retry_after_s=STOOD_STILL_RETRY_S))
+                self._drop(job_id, STOOD_STILL)
 
     def abandon_all(self) -> None:
         """Drop every job, since this process ends."""
