Grant an id only once its keepers have answered, and keep all that is told

Cause: claims rested on silence and on messages that a receiver passed over. Change: an entry in reach that does not answer is no grant; it is waited for until it answers or its link ends, and an answer that is there when the time is over counts. A young entry keeps what it is told, and answers that it knows too little, upon which all entries are asked. Only granted ids are told. An entry that comes into reach while an id is claimed is asked as well. A home keeps each owner of an id, and asks one that tells of an id which another has to give it up. A goodbye raises a short doubt too, since owners hear it at different times. Ruled out: a longer time-out alone, since an entry that was late itself still took answers that waited in its sockets for none; one owner an id, since an asker's provisional grant then hid the true owner.

--- a/dalemast/fleet/entry/claims.py
+++ b/dalemast/fleet/entry/claims.py
@@ -6,6 +6,7 @@
 import itertools
 import time
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 from typing import Protocol
 
 from dalemast.core.ownership import Claims, Granted, Held, choose_home
@@ -17,23 +18,30 @@
 __all__ = ["JobClaims", "OwnJobs"]
 
 CLAIM_TIMEOUT_S = 0.15
-"""A home in the same region answers within about 2 ms, a slowed one within some 50 ms."""
+"""A home in the same region answers within about 2 ms, a slowed one within some 50 ms. After this
+time all entries are asked."""
+ANSWER_S = 0.6
+"""How long all entries are waited for. One that is out of reach is given up as silent meanwhile
+(dalemast/fleet/entry/peers.py), or soon after in a large fleet, and then counts no longer."""
 SETTLE_S = 0.3
-"""A fresh home grants nothing for this long, or until all known entries have told it their jobs.
+"""A young entry claims nothing for this long, or until all known entries have told it their jobs.
 They do so in the first message of a link, and an entry that is up is dialled within 0.1 s."""
 DOUBT_S = 4.0
-"""For this long after a peer was lost without a goodbye, all peers are asked for an id whose home
-it was, since its owner may still run the job. Cuts last about this long."""
+"""For this long after a peer was lost without a goodbye, or while a known one has never been met,
+ids whose home that may concern are asked for at all peers. Cuts last about this long."""
 
 
 class OwnJobs(Protocol):
     """What the claims need of this entry's jobs."""
 
-    def get_open_ids(self) -> list[str]:
-        """Return the ids that this entry has claimed."""
+    def get_claimed_ids(self) -> list[str]:
+        """Return the ids that this entry was granted and has not released."""
 
     def has_open(self, job_id: str) -> bool:
-        """Whether this entry has claimed an id."""
+        """Whether this entry was granted an id or is asking for it."""
+
+    def is_live(self, job_id: str) -> bool:
+        """Whether a job that was granted is being run here, and not being stopped."""
 
     def give_up(self, job_id: str) -> None:
         """Stop a job since another entry was asked for it; release its id once it has ended."""
@@ -42,6 +50,9 @@
 class JobClaims:
     """Claims ids at the entries in reach, and answers for the ids whose home this entry is.
 
+    A claim is granted once each of its keepers has said that nobody else has the id, and not by
+    silence. Its keeper is its home; in doubt it has all entries in reach as keepers.
+
     ``dialled`` are the links that carry this entry's claims, by the peer's name, and ``accepted``
     those that carry the peers', by their incarnation; their keeper adds to them and takes away.
     """
@@ -58,36 +69,46 @@
     ) -> None:
         self._member = member
         self._jobs = jobs
+        self._lapse_s = lapse_s
         self._kept = Claims(lapse_s=lapse_s)
+        """What peers have; this entry's own ids are known to its jobs."""
         self._dialled = dialled
         self._accepted = accepted
         self._has_met_all = has_met_all
         self._numbers = itertools.count(1)
-        self._asked: dict[int, asyncio.Future[ClaimAnswer]] = {}
+        self._asked: dict[int, Question] = {}
         self._asked_for: dict[str, set[str]] = {}
         """By id of this entry's jobs, the peers that may keep its claim."""
         self._lost_until: dict[str, float] = {}
-        """Entries that were lost without a goodbye, and until when they may keep a claim."""
+        """Entries that were lost, and until when they may keep a claim."""
         self._started_at = time.monotonic()
 
     def __len__(self) -> int:
-        """Return how many claims are kept here."""
+        """Return how many ids of peers are kept here."""
         return len(self._kept)
 
     async def claim(self, job_id: str) -> Granted | Held:
-        """Claim an id at its home, or at every peer if its home may be one that was lost."""
-        home = choose_home(job_id, [self._member.name, *self._dialled])
-        if not self._may_be_kept_elsewhere(job_id):
-            if home == self._member.name:
-                return self._claim_here(job_id, self._member.incarnation)
-            answer = await self._ask(self._dialled[home], job_id)
-            if answer is not None:
-                return _read_answer(answer)
-        return await self._claim_everywhere(job_id)
+        """Claim an id at its keepers; those that come into reach meanwhile are asked as well."""
+        if self._is_too_young():
+            return Held(owner="", free_at=self._started_at + SETTLE_S)
+        agreed: set[PeerSession] = set()
+        is_doubtful = not self._has_met_enough()
+        while missing := self._find_keepers(job_id, is_doubtful=is_doubtful) - agreed:
+            timeout_s = ANSWER_S if is_doubtful else CLAIM_TIMEOUT_S
+            answers = await self._ask_all(missing, job_id, timeout_s)
+            refusal = _find_refusal(answers.values())
+            if refusal is not None:
+                return refusal
+            silent = {session for session, answer in answers.items() if answer is None}
+            if is_doubtful and silent & set(self._dialled.values()):
+                return Held(owner="", free_at=None)
+            is_doubtful = is_doubtful or not all(map(_is_grant, answers.values()))
+            agreed |= missing - silent
+        own = self._member.incarnation
+        return self._kept.find_other(job_id, own, now=time.monotonic()) or Granted()
 
     def release(self, job_id: str) -> None:
         """Free an id of this entry."""
-        self._kept.release(job_id, self._member.incarnation)
         for name in self._asked_for.pop(job_id, ()):
             session = self._dialled.get(name)
             if session is not None:
@@ -97,11 +118,10 @@
         """Decide on a peer's claim; the owner that stands in its way is asked to give up."""
         if session.member is None:
             return
-        result = self._claim_here(claim.job, session.member.incarnation)
-        if isinstance(result, Held):
-            self._ask_to_yield(claim.job, result.owner)
         if not claim.number:
+            self._take_told(session, session.member, claim.job)
             return
+        result = self._grant(claim.job, session.member.incarnation)
         if isinstance(result, Granted):
             session.link.send(ClaimAnswer(number=claim.number, is_granted=True))
             return
@@ -116,20 +136,26 @@
         )
 
     def take_answer(self, answer: ClaimAnswer) -> None:
-        """Take in a home's answer, unless it came too late."""
-        future = self._asked.pop(answer.number, None)
-        if future is not None and not future.done():
-            future.set_result(answer)
+        """Take in an answer, unless it came too late."""
+        question = self._asked.pop(answer.number, None)
+        if question is not None and not question.answer.done():
+            question.answer.set_result(answer)
 
     def take_release(self, session: PeerSession, release: Release) -> None:
         """Free an id of a peer."""
         if session.member is not None:
             self._kept.release(release.job, session.member.incarnation)
 
-    def take_open_ids(self, member: Member, job_ids: Iterable[str]) -> None:
+    def take_yield(self, news: Yield) -> None:
+        """Give a job up that another entry was asked for."""
+        self._jobs.give_up(news.job)
+
+    def take_open_ids(self, session: PeerSession, job_ids: Iterable[str]) -> None:
         """Keep the claims that an entry tells when it is met."""
+        if session.member is None:
+            return
         for job_id in job_ids:
-            self._kept.claim(job_id, member.incarnation, now=time.monotonic())
+            self._take_told(session, session.member, job_id)
 
     def note_owner_lost(self, member: Member) -> None:
         """Note that the owner of claims kept here is out of reach: they lapse after a while."""
@@ -139,26 +165,43 @@
         """Note that the owner of claims kept here is in reach."""
         self._kept.note_back(member.incarnation)
 
-    def doubt_home(self, member: Member) -> None:
-        """Note that an entry was lost without a goodbye and may keep claims unseen."""
-        self._lost_until[member.name] = time.monotonic() + DOUBT_S
+    def doubt_home(self, member: Member, *, is_planned: bool) -> None:
+        """Note that an entry was lost and may keep claims unseen.
+
+        After a goodbye it has none itself, and those that it kept are told to other entries as soon
+        as their owners have heard it.
+        """
+        doubt_s = self._lapse_s if is_planned else DOUBT_S
+        self._lost_until[member.name] = time.monotonic() + doubt_s
+
+    def forget(self, session: PeerSession) -> None:
+        """Wait for no more answers on a link that has ended."""
+        for question in self._asked.values():
+            if question.session is session and not question.answer.done():
+                question.answer.set_result(None)
 
     def move_all(self) -> None:
-        """Tell the homes of this entry's jobs anew after the entries in reach have changed."""
-        entries = [self._member.name, *self._dialled]
-        for job_id in self._jobs.get_open_ids():
-            home = choose_home(job_id, entries)
-            if home == self._member.name:
-                self._kept.claim(job_id, self._member.incarnation, now=time.monotonic())
-            else:
-                self._send_claim(self._dialled[home], job_id, number=0)
+        """Tell the keepers of this entry's claims anew after the entries in reach have changed."""
+        for job_id in self._jobs.get_claimed_ids():
+            for session in self._find_keepers(job_id, is_doubtful=False):
+                self._send_claim(session, job_id, number=0)
 
     def sweep(self, now: float) -> None:
-        """Forget the claims of owners that are gone."""
+        """Forget the claims of owners that are gone, and doubts that are over."""
         self._kept.sweep(now=now)
+        self._lost_until = {name: at for name, at in self._lost_until.items() if now < at}
+
+    def _find_keepers(self, job_id: str, *, is_doubtful: bool) -> set[PeerSession]:
+        """Return the links with the peers that have to know of a claim."""
+        if is_doubtful or self._may_be_kept_elsewhere(job_id):
+            return set(self._dialled.values())
+        home = choose_home(job_id, [self._member.name, *self._dialled])
+        if home != self._member.name:
+            return {self._dialled[home]}
+        return set()
 
     def _may_be_kept_elsewhere(self, job_id: str) -> bool:
-        """Tell whether the id's home may be an entry that was lost a short while ago."""
+        """Tell whether the id's home may be an entry that was lost a while ago."""
         now = time.monotonic()
         lost = [name for name, until in self._lost_until.items() if now < until]
         lost = [name for name in lost if name not in self._dialled]
@@ -166,57 +209,86 @@
             return False
         return choose_home(job_id, [self._member.name, *self._dialled, *lost]) in lost
 
-    async def _claim_everywhere(self, job_id: str) -> Granted | Held:
-        own = self._claim_here(job_id, self._member.incarnation)
-        sessions = list(self._dialled.values())
-        answers = await asyncio.gather(*(self._ask(session, job_id) for session in sessions))
-        for answer in answers:
-            if answer is not None and not answer.is_granted:
-                return _read_answer(answer)
-        return own
-
-    async def _ask(self, session: PeerSession, job_id: str) -> ClaimAnswer | None:
+    async def _ask_all(
+        self, sessions: Iterable[PeerSession], job_id: str, timeout_s: float
+    ) -> dict[PeerSession, ClaimAnswer | None]:
+        """Ask for an id on these links; return the answers, None for each that was not given."""
+        asked = {session: self._ask(session, job_id) for session in sessions}
+        await asyncio.wait([question.answer for question in asked.values()], timeout=timeout_s)
+        for number in [number for number, row in self._asked.items() if row in asked.values()]:
+            del self._asked[number]
+        answers = {session: question.read() for session, question in asked.items()}
+        for session, answer in answers.items():
+            if answer is None:
+                log_event("claim:unanswered", job=job_id, home=session.name)
+        return answers
+
+    def _ask(self, session: PeerSession, job_id: str) -> Question:
         number = next(self._numbers)
-        future: asyncio.Future[ClaimAnswer] = asyncio.get_running_loop().create_future()
-        self._asked[number] = future
+        question = Question(session=session, answer=asyncio.get_running_loop().create_future())
+        self._asked[number] = question
         self._send_claim(session, job_id, number=number)
-        try:
-            return await asyncio.wait_for(future, CLAIM_TIMEOUT_S)
-        except TimeoutError:
-            name = session.member.name if session.member else ""
-            log_event("claim:unanswered", job=job_id, home=name)
-            return None
-        finally:
-            self._asked.pop(number, None)
+        return question
 
     def _send_claim(self, session: PeerSession, job_id: str, *, number: int) -> None:
         if session.member is not None:
             self._asked_for.setdefault(job_id, set()).add(session.member.name)
         session.link.send(Claim(number=number, job=job_id))
 
-    def _claim_here(self, job_id: str, owner: str) -> Granted | Held:
-        now = time.monotonic()
-        if owner != self._member.incarnation and self._jobs.has_open(job_id):
+    def _grant(self, job_id: str, owner: str) -> Granted | Held:
+        """Grant an id to a peer, or ask who has it to give it up."""
+        if self._jobs.has_open(job_id):
+            self._jobs.give_up(job_id)
             return Held(owner=self._member.incarnation, free_at=None)
-        if not self._is_settled(now):
-            return Held(owner="", free_at=self._started_at + SETTLE_S)
-        return self._kept.claim(job_id, owner, now=now)
-
-    def _is_settled(self, now: float) -> bool:
-        """Tell whether owners had the time to say which jobs they have."""
-        return now - self._started_at >= SETTLE_S or self._has_met_all()
+        result = self._kept.claim(job_id, owner, now=time.monotonic())
+        if isinstance(result, Held):
+            self._ask_to_yield(job_id, result.owner)
+        elif not self._has_met_enough():
+            # Nobody has it as far as is known here, which is too little: all are to be asked.
+            return Held(owner="", free_at=self._started_at + DOUBT_S)
+        return result
+
+    def _take_told(self, session: PeerSession, member: Member, job_id: str) -> None:
+        """Keep a peer's claim. If others have one too, the peer is asked to give its job up."""
+        is_news = self._kept.note_told(job_id, member.incarnation)
+        held = self._kept.find_other(job_id, member.incarnation, now=time.monotonic())
+        if is_news and (held is not None or self._jobs.is_live(job_id)):
+            session.link.send(Yield(job=job_id))
+
+    def _is_too_young(self) -> bool:
+        """Tell whether owners had no time yet to say which jobs they have."""
+        return time.monotonic() - self._started_at < SETTLE_S and not self._has_met_all()
+
+    def _has_met_enough(self) -> bool:
+        """Tell whether what is kept here speaks for all entries."""
+        return time.monotonic() - self._started_at >= DOUBT_S or self._has_met_all()
 
     def _ask_to_yield(self, job_id: str, owner: str) -> None:
-        if owner == self._member.incarnation:
-            self._jobs.give_up(job_id)
-            return
         holder = self._accepted.get(owner)
         if holder is not None:
             holder.link.send(Yield(job=job_id))
 
 
-def _read_answer(answer: ClaimAnswer) -> Granted | Held:
-    if answer.is_granted:
-        return Granted()
-    free_at = time.monotonic() + answer.lapses_in_s if answer.lapses_in_s >= 0 else None
-    return Held(owner=answer.holder, free_at=free_at)
+@dataclass(frozen=True, kw_only=True, slots=True, eq=False)
+class Question:
+    """A claim that waits for its answer, which is None once its link has ended."""
+
+    session: PeerSession
+    answer: asyncio.Future[ClaimAnswer | None]
+
+    def read(self) -> ClaimAnswer | None:
+        """Return the answer if it was given."""
+        return self.answer.result() if self.answer.done() else None
+
+
+def _is_grant(answer: ClaimAnswer | None) -> bool:
+    return answer is not None and answer.is_granted
+
+
+def _find_refusal(answers: Iterable[ClaimAnswer | None]) -> Held | None:
+    """Return the first answer that names another owner."""
+    for answer in answers:
+        if answer is not None and not answer.is_granted and answer.holder:
+            free_at = time.monotonic() + answer.lapses_in_s if answer.lapses_in_s >= 0 else None
+            return Held(owner=answer.holder, free_at=free_at)
+    return None
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -97,13 +97,23 @@
         self._claims = claims
 
     def get_open_ids(self) -> list[str]:
-        """Return the ids that this entry has claimed."""
+        """Return the ids that this entry was granted or is asking for."""
         return [*self._open, *self._ending]
 
+    def get_claimed_ids(self) -> list[str]:
+        """Return the ids that this entry was granted and has not released."""
+        granted = [job_id for job_id, job in self._open.items() if job.is_submitted]
+        return [*granted, *self._ending]
+
     def has_open(self, job_id: str) -> bool:
-        """Whether this entry has claimed an id."""
+        """Whether this entry was granted an id or is asking for it."""
         return job_id in self._open or job_id in self._ending
 
+    def is_live(self, job_id: str) -> bool:
+        """Whether a job that was granted is being run here, and not being stopped."""
+        job = self._open.get(job_id)
+        return job is not None and job.is_submitted
+
     async def run(self, request: JobRequest) -> JobOutcome:
         """Run a job to its end. A second submission here takes the first one's place."""
         now = time.monotonic()
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -153,7 +153,7 @@
             case Release():
                 self._claims.take_release(session, message)
             case Yield():
-                self._jobs.give_up(message.job)
+                self._claims.take_yield(message)
             case Bye():
                 session.is_ending = True
             case Beat():
@@ -170,8 +170,8 @@
             del self._dialled[member.name]
             log_event("peer:lost", peer=member.name, is_planned=session.is_ending)
             self._news.forget(member.name)
-            if not session.is_ending:
-                self._claims.doubt_home(member)
+            self._claims.doubt_home(member, is_planned=session.is_ending)
+            self._claims.forget(session)
             self._claims.move_all()
         if not session.is_dialled and self._accepted.get(member.incarnation) is session:
             del self._accepted[member.incarnation]
@@ -248,12 +248,8 @@
     def _open(self, link: Link, *, is_dialled: bool) -> PeerSession:
         session = PeerSession(link=link, links=self, is_dialled=is_dialled)
         self._sessions.add(session)
-        link.send(
-            PeerHello(
-                member=to_row(self._member),
-                jobs=tuple(self._jobs.get_open_ids()),
-            )
-        )
+        claimed = tuple(self._jobs.get_claimed_ids())
+        link.send(PeerHello(member=to_row(self._member), jobs=claimed))
         self._tell_declarations(session)
         return session
 
@@ -272,7 +268,7 @@
         session.member = member
         self.learn([member])
         session.link.send(MemberNews(members=tuple(to_row(m) for m in self._book.members)))
-        self._claims.take_open_ids(member, hello.jobs)
+        self._claims.take_open_ids(session, hello.jobs)
         if session.is_dialled:
             self._dialled[member.name] = session
             # Changes since the link opened were told to greeted entries alone.
--- a/tests/core/ownership/test_claims.py
+++ b/tests/core/ownership/test_claims.py
@@ -52,6 +52,28 @@
         self.claims.sweep(now=3.0)
         self.assertEqual(0, len(self.claims))
 
+    def test_an_id_that_two_owners_have_is_free_once_both_released_it(self) -> None:
+        """One was granted it here, and the other tells that it has it by another entry's grant."""
+        self.claims.claim("a", "o1", now=0.0)
+        self.assertTrue(self.claims.note_told("a", "o2"))
+        self.assertFalse(self.claims.note_told("a", "o2"))
+        self.assertEqual(Held(owner="o2", free_at=None), self.claims.claim("a", "o1", now=0.0))
+        self.claims.release("a", "o1")
+        self.assertEqual(Held(owner="o2", free_at=None), self.claims.claim("a", "o3", now=0.0))
+        self.claims.release("a", "o2")
+        self.assertEqual(Granted(), self.claims.claim("a", "o3", now=0.0))
+
+    def test_of_two_owners_the_one_that_lapses_last_is_named(self) -> None:
+        for owner, lost_at in (("o1", 1.0), ("o2", 2.0)):
+            self.claims.note_told("a", owner)
+            self.claims.note_lost(owner, now=lost_at)
+        self.assertEqual(
+            Held(owner="o2", free_at=2.0 + LAPSE_S), self.claims.claim("a", "o3", now=2.1)
+        )
+        self.claims.sweep(now=1.0 + LAPSE_S)
+        self.assertIsInstance(self.claims.claim("a", "o3", now=1.1 + LAPSE_S), Held)
+        self.assertEqual(Granted(), self.claims.claim("a", "o3", now=2.0 + LAPSE_S))
+
 
 class RendezvousTests(testtools.TestCase):
     @given(st.text(min_size=1), st.sets(st.text(min_size=1), min_size=2, max_size=8))
--- a/tests/fleet/test_claims.py
+++ b/tests/fleet/test_claims.py
@@ -125,15 +125,16 @@
 
     def lose(self, other: Entry) -> None:
         """Note that the link with another entry has ended without a goodbye, both ways."""
-        del self.dialled[other.name]
-        self.claims.doubt_home(other.member)
+        session = self.dialled.pop(other.name)
+        self.claims.forget(session)  # type: ignore[arg-type]
+        self.claims.doubt_home(other.member, is_planned=False)
         self.claims.move_all()
         del self.accepted[other.member.incarnation]
         self.claims.note_owner_lost(other.member)
 
     def take_open_ids(self, session: FakeSession, job_ids: tuple[str, ...]) -> None:
         """Take in what another entry's greeting tells."""
-        self.claims.take_open_ids(session.member, job_ids)
+        self.claims.take_open_ids(session, job_ids)  # type: ignore[arg-type]
 
     async def claim(self, job_id: str) -> Granted | Held:
         """Claim an id as the desk does."""
@@ -159,7 +160,7 @@
             case Release():
                 self.claims.take_release(peer, message)
             case Yield():
-                self.jobs.give_up(message.job)
+                self.claims.take_yield(message)
 
 
 def find_id(*names: str) -> str:
