Reproduce ids granted to a third entry while two don't reach one another: three tests that fail

Cause: an owner that its home alone can't reach counts as gone after the time of a lost run; nobody but the owner knows of an id whose home it is itself; and entries doubt a lost one for 4 s, whatever the cut. Ruled out: what asks all entries today; it is done by the entry that lost the home, and the third has lost none.

--- a/tests/fleet/test_claims.py
+++ b/tests/fleet/test_claims.py
@@ -15,6 +15,8 @@
 from tests.base import AsyncTestCase
 
 LAPSE_S = FleetTimes().lost_run_s
+CUT_S = 6.0
+"""A long cut between two entries."""
 START = 1000.0
 """When the entries of a test begin, on their clock."""
 
@@ -323,3 +325,46 @@
         self.wait(2 * DOUBT_S)
         self.entries[1] = Entry("b")
         return self.entries[1]
+
+
+class CutTests(ClaimsTestCase):
+    """Two entries don't reach one another, and each reaches the third.
+
+    The home of an id forgot its claim once it had not heard of its owner for the time of a lost
+    run, and granted it to the third entry, though the owner was in reach of that one. An id whose
+    home is its owner was known to nobody else. And after 4 s no entry doubted any more.
+    """
+
+    def test_an_id_whose_home_lost_its_owner_is_not_granted(self) -> None:
+        async def scenario() -> None:
+            job_id = find_id("b", "a", "c")
+            self.assertTrue(is_granted(await self.a.claim(job_id)))
+            self.cut(self.a, self.b)
+            await settle()
+            self.wait(CUT_S)
+            self.assertFalse(is_granted(await self.c.claim(job_id)))
+            await settle()
+            self.assertEqual([job_id], self.a.jobs.given_up)
+
+        self.play(scenario)
+
+    def test_an_id_that_is_claimed_late_in_a_cut_is_not_granted(self) -> None:
+        async def scenario() -> None:
+            job_id = find_id("b", "a", "c")
+            self.cut(self.a, self.b)
+            self.wait(CUT_S)
+            self.assertTrue(is_granted(await self.a.claim(job_id)))
+            self.assertFalse(is_granted(await self.c.claim(job_id)))
+
+        self.play(scenario)
+
+    def test_an_id_whose_home_is_its_owner_is_not_granted_beyond_the_cut(self) -> None:
+        async def scenario() -> None:
+            job_id = find_id("a", "b", "c")
+            self.assertTrue(is_granted(await self.a.claim(job_id)))
+            self.cut(self.a, self.c)
+            await settle()
+            self.wait(CUT_S)
+            self.assertFalse(is_granted(await self.c.claim(job_id)))
+
+        self.play(scenario)
