Let two entries besides the owner's caller know of each claim, and doubt for as long as cuts last

Cause: what an entry believed of an id rested on its own reach. A home forgot owners that others reached, an owner that was its own home told nobody, and the doubt of lost entries ended before a long cut did. Change: an owner that is the home itself claims at the next entry in line as well. An asker heeds what it keeps itself. An entry that lost another tells all others the ids whose home may be that one, and asks all for them, for 60 s. A Yield for an id that is not open is answered by its release, which got lost. Those who heard a greeting with claims are told of their end. Ruled out: letting a home that lost any entry call all of its answers doubtful, which asks all entries for every id instead of one in as many as there are entries.

--- a/dalemast/fleet/entry/claims.py
+++ b/dalemast/fleet/entry/claims.py
@@ -26,9 +26,10 @@
 SETTLE_S = 0.3
 """A young entry claims nothing for this long, or until all known entries have told it their jobs.
 They do so in the first message of a link, and an entry that is up is dialled within 0.1 s."""
-DOUBT_S = 4.0
+DOUBT_S = 60.0
 """For this long after a peer was lost without a goodbye, or while a known one has never been met,
-ids whose home that may concern are asked for at all peers. Cuts last about this long."""
+ids whose home that may concern are asked for at all peers, and told to all. It bounds cuts, which
+last some seconds, and costs a few messages for one id in as many as there are entries."""
 
 
 class OwnJobs(Protocol):
@@ -51,7 +52,8 @@
     """Claims ids at the entries in reach, and answers for the ids whose home this entry is.
 
     A claim is granted once each of its keepers has said that nobody else has the id, and not by
-    silence. Its keeper is its home; in doubt it has all entries in reach as keepers.
+    silence. Its keepers are its home, or the next entry in line if the asker is the home itself, so
+    that one more entry knows of it; in doubt they are all entries in reach.
 
     ``dialled`` are the links that carry this entry's claims, by the peer's name, and ``accepted``
     those that carry the peers', by their incarnation; their keeper adds to them and takes away.
@@ -104,8 +106,7 @@
                 return Held(owner="", free_at=None)
             is_doubtful = is_doubtful or not all(map(_is_grant, answers.values()))
             agreed |= missing - silent
-        own = self._member.incarnation
-        return self._kept.find_other(job_id, own, now=time.monotonic()) or Granted()
+        return self._find_holder(job_id) or Granted()
 
     def release(self, job_id: str) -> None:
         """Free an id of this entry."""
@@ -146,9 +147,18 @@
         if session.member is not None:
             self._kept.release(release.job, session.member.incarnation)
 
-    def take_yield(self, news: Yield) -> None:
-        """Give a job up that another entry was asked for."""
-        self._jobs.give_up(news.job)
+    def take_yield(self, session: PeerSession, news: Yield) -> None:
+        """Give a job up that another entry was asked for.
+
+        An id that is not open here was released, and the release got lost. It is said again on the
+        link that carries the claims, so that it can't overtake one.
+        """
+        if self._jobs.has_open(news.job):
+            self._jobs.give_up(news.job)
+            return
+        own = None if session.member is None else self._dialled.get(session.member.name)
+        if own is not None:
+            own.link.send(Release(job=news.job))
 
     def take_open_ids(self, session: PeerSession, job_ids: Iterable[str]) -> None:
         """Keep the claims that an entry tells when it is met."""
@@ -157,6 +167,14 @@
         for job_id in job_ids:
             self._take_told(session, session.member, job_id)
 
+    def note_greeted(self, session: PeerSession) -> None:
+        """Note who has heard this entry's own greeting: it is told of the end of those claims."""
+        for job_id in session.told:
+            if self._jobs.has_open(job_id):
+                self._asked_for.setdefault(job_id, set()).add(session.name)
+            elif session.is_dialled:
+                session.link.send(Release(job=job_id))
+
     def note_owner_lost(self, member: Member) -> None:
         """Note that the owner of claims kept here is out of reach: they lapse after a while."""
         self._kept.note_lost(member.incarnation, now=time.monotonic())
@@ -198,7 +216,9 @@
         home = choose_home(job_id, [self._member.name, *self._dialled])
         if home != self._member.name:
             return {self._dialled[home]}
-        return set()
+        if not self._dialled:
+            return set()
+        return {self._dialled[choose_home(job_id, self._dialled)]}
 
     def _may_be_kept_elsewhere(self, job_id: str) -> bool:
         """Tell whether the id's home may be an entry that was lost a while ago."""
@@ -235,6 +255,13 @@
             self._asked_for.setdefault(job_id, set()).add(session.member.name)
         session.link.send(Claim(number=number, job=job_id))
 
+    def _find_holder(self, job_id: str) -> Held | None:
+        """Return the peer that has an id by what is kept here; it is asked to give it up."""
+        held = self._kept.find_other(job_id, self._member.incarnation, now=time.monotonic())
+        if held is not None:
+            self._ask_to_yield(job_id, held.owner)
+        return held
+
     def _grant(self, job_id: str, owner: str) -> Granted | Held:
         """Grant an id to a peer, or ask who has it to give it up."""
         if self._jobs.has_open(job_id):
--- a/dalemast/fleet/entry/peer_sessions.py
+++ b/dalemast/fleet/entry/peer_sessions.py
@@ -31,6 +31,8 @@
         self.is_dialled = is_dialled
         self.member: Member | None = None
         self.is_ending = False
+        self.told: tuple[str, ...] = ()
+        """The ids that this entry's own greeting told as claimed."""
         self._links = links
 
     @property
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -153,7 +153,7 @@
             case Release():
                 self._claims.take_release(session, message)
             case Yield():
-                self._claims.take_yield(message)
+                self._claims.take_yield(session, message)
             case Bye():
                 session.is_ending = True
             case Beat():
@@ -248,8 +248,8 @@
     def _open(self, link: Link, *, is_dialled: bool) -> PeerSession:
         session = PeerSession(link=link, links=self, is_dialled=is_dialled)
         self._sessions.add(session)
-        claimed = tuple(self._jobs.get_claimed_ids())
-        link.send(PeerHello(member=to_row(self._member), jobs=claimed))
+        session.told = tuple(self._jobs.get_claimed_ids())
+        link.send(PeerHello(member=to_row(self._member), jobs=session.told))
         self._tell_declarations(session)
         return session
 
@@ -269,6 +269,7 @@
         self.learn([member])
         session.link.send(MemberNews(members=tuple(to_row(m) for m in self._book.members)))
         self._claims.take_open_ids(session, hello.jobs)
+        self._claims.note_greeted(session)
         if session.is_dialled:
             self._dialled[member.name] = session
             # Changes since the link opened were told to greeted entries alone.
--- a/tests/fleet/test_claims.py
+++ b/tests/fleet/test_claims.py
@@ -123,6 +123,7 @@
     def take_greeting(self, session: FakeSession) -> None:
         """Take in the other entry's greeting on a link that this one has dialled."""
         self.dialled[session.member.name] = session
+        self.claims.note_greeted(session)  # type: ignore[arg-type]
         self.claims.move_all()
 
     def lose(self, other: Entry) -> None:
@@ -162,7 +163,7 @@
             case Release():
                 self.claims.take_release(peer, message)
             case Yield():
-                self.claims.take_yield(message)
+                self.claims.take_yield(peer, message)
 
 
 def find_id(*names: str) -> str:
@@ -368,3 +369,65 @@
             self.assertFalse(is_granted(await self.c.claim(job_id)))
 
         self.play(scenario)
+
+    def test_an_id_whose_second_keeper_is_beyond_the_cut_is_not_granted(self) -> None:
+        async def scenario() -> None:
+            job_id = find_id("a", "c", "b")
+            self.assertTrue(is_granted(await self.a.claim(job_id)))
+            self.cut(self.a, self.c)
+            await settle()
+            self.assertFalse(is_granted(await self.c.claim(job_id)))
+            self.wait(CUT_S)
+            self.assertFalse(is_granted(await self.c.claim(job_id)))
+
+        self.play(scenario)
+
+    def test_an_owner_that_is_its_own_home_and_gone_is_waited_for(self) -> None:
+        """Its runs go on for the time of a lost run after its last word."""
+
+        async def scenario() -> None:
+            job_id = find_id("a", "b", "c")
+            self.assertTrue(is_granted(await self.a.claim(job_id)))
+            self.entries.remove(self.a)
+            self.cut(self.a, self.b)
+            self.cut(self.a, self.c)
+            self.wait(0.5 * LAPSE_S)
+            self.assertFalse(is_granted(await self.c.claim(job_id)))
+            self.wait(0.6 * LAPSE_S)
+            self.assertTrue(is_granted(await self.c.claim(job_id)))
+
+        self.play(scenario)
+
+
+class ReleaseTests(ClaimsTestCase):
+    def test_an_id_whose_release_was_lost_is_free_when_it_is_asked_for(self) -> None:
+        """A home kept a claim whose release was lost with its link, and its owner lived on.
+
+        It asked the owner to give the job up, who had none and said nothing: the id stayed taken.
+        """
+
+        async def scenario() -> None:
+            job_id = find_id("b", "a", "c")
+            self.assertTrue(is_granted(await self.a.claim(job_id)))
+            self.a.dialled["b"].link.is_lossy = True
+            self.a.release(job_id)
+            await settle()
+            self.a.dialled["b"].link.is_lossy = False
+            await self.c.claim(job_id)
+            await settle()
+            self.assertTrue(is_granted(await self.c.claim(job_id)))
+
+        self.play(scenario)
+
+    def test_every_entry_that_was_asked_or_told_is_told_of_the_end(self) -> None:
+        async def scenario() -> None:
+            job_id = find_id("a", "b", "c")
+            self.assertTrue(is_granted(await self.a.claim(job_id)))
+            self.cut(self.a, self.c)
+            self.heal(self.a, self.c)
+            await settle()
+            self.a.release(job_id)
+            await settle()
+            self.assertEqual([0, 0, 0], [len(entry.claims) for entry in self.entries])
+
+        self.play(scenario)
