Begin a new session with an owner that has given the last one up

Cause: that a session is over was known to the owner alone. It numbered frames and connections anew, and the agent passed over all numbers that it had seen. Change: an agent that is greeted without its session's name begins a new one: what runs goes on, and what waits is dropped, since its caller was told its end. An owner numbers the connections of all its links together, so that an endpoint that comes back goes on. Ruled out: going on with the old numbers at the owner; one that took an endpoint's link away has none.

--- a/dalemast/core/dispatch/linkbook.py
+++ b/dalemast/core/dispatch/linkbook.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable
 
 from dalemast.core.dispatch.links import WorkerLink
@@ -23,6 +24,8 @@
 
     def __init__(self) -> None:
         self._links: dict[str, WorkerLink] = {}
+        self._connections = itertools.count(1)
+        """Numbers for all links together: an endpoint that comes back goes on from its last one."""
         self._due: dict[str, WorkerLink] = {}
         self._watched: dict[str, WorkerLink] = {}
 
@@ -57,7 +60,10 @@
 
     def _add(self, view: WorkerView) -> None:
         self._links[view.name] = WorkerLink(
-            view=view, on_due=self._note_due, on_watched=self._note_watched
+            view=view,
+            connections=self._connections,
+            on_due=self._note_due,
+            on_watched=self._note_watched,
         )
 
     def _note_due(self, link: WorkerLink) -> None:
--- a/dalemast/core/dispatch/links.py
+++ b/dalemast/core/dispatch/links.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from dalemast.core.dispatch.jobs import Job
@@ -28,6 +28,7 @@
         self,
         *,
         view: WorkerView,
+        connections: Iterator[int],
         on_due: Callable[[WorkerLink], None],
         on_watched: Callable[[WorkerLink], None],
     ) -> None:
@@ -40,7 +41,7 @@
         self.seen = 0
         self.confirmed = 0
         self.unconfirmed_since = 0.0
-        self.connection = 0
+        self._connections = connections
         self._number = 0
         self._starts: dict[int, list[int]] = {}
         self._jobs: dict[int, Job] = {}
@@ -65,11 +66,10 @@
 
     def make_hello(self, *, owner: str, entry: str, data_centre: str) -> EntryHello:
         """Return the first message of a new connection."""
-        self.connection += 1
         return EntryHello(
             owner=owner,
             entry=entry,
-            connection=self.connection,
+            connection=next(self._connections),
             session=self.view.session,
             seen=self.seen,
             data_centre=data_centre,
--- a/dalemast/core/gate/gate.py
+++ b/dalemast/core/gate/gate.py
@@ -160,7 +160,8 @@
     ) -> tuple[AgentHello, tuple[AgentFrame, ...]] | None:
         """Greet an owner; return the hello and the unconfirmed frames, or None to refuse the link.
 
-        A link is refused when it is older than the one in use or when ``max_links`` are open.
+        A link is refused when it is older than the one in use or when ``max_links`` are open. An
+        owner that does not name its session has given it up, with all that it had sent.
         """
         owner = self._owners.get(hello.owner)
         if owner is not None and hello.connection <= owner.connection:
@@ -169,10 +170,12 @@
             return None
         if owner is None:
             owner = self._add_owner(hello.owner)
+        elif hello.session == owner.session:
+            owner.confirm(hello.seen)
+        else:
+            self._begin_session(owner)
         owner.connection = hello.connection
         owner.is_linked = True
-        if hello.session == owner.session:
-            owner.confirm(hello.seen)
         answer = AgentHello(
             worker=self._worker,
             session=owner.session,
@@ -268,13 +271,21 @@
         return GateEffects(runs=runs, frames=frames)
 
     def _add_owner(self, incarnation: str) -> OwnerRecord:
-        self._sessions += 1
-        owner = OwnerRecord(
-            incarnation=incarnation, session=f"{self._incarnation}.{self._sessions}"
-        )
+        owner = OwnerRecord(incarnation=incarnation, session=self._name_session())
         self._owners[incarnation] = owner
         return owner
 
+    def _name_session(self) -> str:
+        self._sessions += 1
+        return f"{self._incarnation}.{self._sessions}"
+
+    def _begin_session(self, owner: OwnerRecord) -> None:
+        """Begin anew with an owner; what runs goes on, and what waits is dropped."""
+        for task in list(self._queue):
+            if task.owner is owner:
+                self._drop_queued(task, RefusalReason.REVOKED)
+        owner.begin_session(self._name_session())
+
     def _count_granted(self, now: float, *, but: OwnerRecord) -> int:
         """Return how many free slots are kept for other owners."""
         return sum(now < o.granted_until for o in self._owners.values() if o is not but)
--- a/dalemast/core/gate/sessions.py
+++ b/dalemast/core/gate/sessions.py
@@ -72,6 +72,19 @@
         self.granted_until = 0.0
         self.must_report = False
 
+    def begin_session(self, session: str) -> None:
+        """Forget all that was said and all that has ended; numbers begin anew on both sides."""
+        self.session = session
+        self.last_processed = 0
+        self.last_sent = 0
+        self.seen = 0
+        self.kept.clear()
+        self.answers.clear()
+        self.refusals.clear()
+        self.tasks = {
+            key: task for key, task in self.tasks.items() if task.state is TaskStage.RUNNING
+        }
+
     def confirm(self, seen: int) -> None:
         """Forget the outcomes in all frames up to ``seen``."""
         self.seen = max(self.seen, seen)
