Reproduce a trial that an older task decides: a test that fails

Cause: tasks on trial are counted, and any task of that worker that comes back takes one off and decides, also one that it had got before it was ejected. Ruled out: a run that overlaps; this costs only trust in a bad worker that comes too early.

--- a/tests/core/test_health.py
+++ b/tests/core/test_health.py
@@ -27,6 +27,15 @@
             workers=WORKERS,
         )
 
+    def send(self) -> object:
+        """Send a task to the worker w0."""
+        return self.health.note_sent("w0", 1)
+
+    def end(self, sent: object) -> None:
+        """End a task that was sent well."""
+        self.health.note_resolved("w0")
+        self.observe(0, now=NOW + 4.0)
+
     def work(self, rounds: int = 6, run_s: float = 0.1) -> None:
         for _ in range(rounds):
             for worker in range(1, WORKERS):
@@ -81,6 +90,26 @@
         self.assertFalse(self.health.tick(now=NOW + 11.0))
         self.assertTrue(self.health.tick(now=NOW + 13.0))
 
+    def test_only_the_task_on_trial_decides_about_a_worker(self) -> None:
+        """Tasks that were out when their worker was ejected come back during its trial.
+
+        Their ends were taken for the trial's: another task was sent while the first was out, and a
+        worker was trusted again by a task that it had got before it turned bad.
+        """
+        self.work()
+        early = [self.send() for _ in range(2)]
+        for _ in range(3):
+            self.observe(0, fails=True)
+        self.health.tick(now=NOW + 4.0)
+        trial = self.send()
+        self.end(early[0])
+        self.assertEqual(self.health.get_allowance("w0", 8), 0)
+        self.assertEqual(self.health.ejected, ("w0",))
+        self.end(trial)
+        self.assertEqual(self.health.ejected, ())
+        self.end(early[1])
+        self.assertEqual(self.health.get_allowance("w0", 8), 8)
+
     def test_failed_trial_of_another_account_only_concerns_workers_found_bad(self) -> None:
         self.work()
         self.health.postpone(worker="w1", now=NOW)
