Let only a trial's own task decide about a worker

Cause: tasks on trial were counted, and any task that came back from the worker took one off and decided. Change: each trial has a number, which its task carries. Others that come back count as any task does. Ruled out: telling them apart by when they were sent; a trial may begin within one reading of the clock. Two tests of trials now name the trial of the task that they end, as the owner does.

--- a/dalemast/core/dispatch/dispatching.py
+++ b/dalemast/core/dispatch/dispatching.py
@@ -101,10 +101,10 @@
             link = self._links.get(allotment.worker.name)
             assert link is not None
             indexes = job.take_waiting(allotment.count)
+            trial = health.note_sent(allotment.worker.name, len(indexes))
             for index in indexes:
                 job.move(index, TaskState.SENT)
-                link.add_start(job, index, now)
+                link.add_start(job, index, trial=trial, now=now)
             usage.running += len(indexes)
-            health.note_sent(allotment.worker.name, len(indexes))
             self._backlog.charge(job.request.account, expected * len(indexes))
             self._backlog.note_taken(job, len(indexes))
--- a/dalemast/core/dispatch/links.py
+++ b/dalemast/core/dispatch/links.py
@@ -14,11 +14,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Outstanding:
-    """A task that was sent and not resolved. ``sent_at`` is on the owner's clock, in seconds."""
+    """A task that was sent and not resolved. ``sent_at`` is on the owner's clock, in seconds.
+
+    ``trial`` is the number of the trial of its worker that it is for, or 0.
+    """
 
     job: Job
     index: int
     sent_at: float
+    trial: int
 
 
 class WorkerLink:
@@ -75,12 +79,12 @@
             data_centre=data_centre,
         )
 
-    def add_start(self, job: Job, index: int, now: float) -> None:
+    def add_start(self, job: Job, index: int, *, trial: int, now: float) -> None:
         """Note a start for the next frame and count the task as out."""
         key = (job.number, index)
         if key not in self.outstanding:
             self.view.own += 1
-        self.outstanding[key] = Outstanding(job=job, index=index, sent_at=now)
+        self.outstanding[key] = Outstanding(job=job, index=index, sent_at=now, trial=trial)
         self._starts.setdefault(job.number, []).append(index)
         self._jobs[job.number] = job
         self._on_due(self)
--- a/dalemast/core/dispatch/owner.py
+++ b/dalemast/core/dispatch/owner.py
@@ -269,7 +269,7 @@
             return
         job = item.job
         self._settle_usage(link, item, answer.run_ms / 1000.0)
-        self._observe(link, job, answer.run_ms / 1000.0, is_failure=bool(answer.error), now=now)
+        self._observe(link, item, answer.run_ms / 1000.0, is_failure=bool(answer.error), now=now)
         if answer.error:
             job.move(answer.index, TaskState.FAILED)
             if job.is_open:
@@ -289,7 +289,7 @@
         if refusal.reason is RefusalReason.FULL:
             link.view.await_room()
         if refusal.reason is RefusalReason.UNREACHABLE:
-            self._observe(link, job, 0.0, is_failure=True, now=now)
+            self._observe(link, item, 0.0, is_failure=True, now=now)
         if not job.is_open:
             job.move(refusal.index, TaskState.REVOKED)
             return
@@ -323,23 +323,24 @@
         self._parked.clear()
 
     def _observe(
-        self, link: WorkerLink, job: Job, run_s: float, *, is_failure: bool, now: float
+        self, link: WorkerLink, item: Outstanding, run_s: float, *, is_failure: bool, now: float
     ) -> None:
         if self._policy.is_ejecting:
             self._health.observe(
-                account=job.request.account,
+                account=item.job.request.account,
                 worker=link.view.name,
-                service=job.request.service,
+                service=item.job.request.service,
                 run_s=run_s,
                 is_failure=is_failure,
                 now=now,
                 workers=len(self._pool),
+                trial=item.trial,
             )
 
     def _settle_usage(self, link: WorkerLink, item: Outstanding, used_s: float) -> None:
         request = item.job.request
         health = self._health.get(request.account)
-        health.note_resolved(link.view.name)
+        health.note_resolved(link.view.name, trial=item.trial)
         self._backlog.get_usage(request.account).running -= 1
         expected = health.get_expected_run_s(request.service)
         self._backlog.charge(request.account, used_s - expected)
--- a/dalemast/core/placement/health.py
+++ b/dalemast/core/placement/health.py
@@ -40,6 +40,9 @@
 FIRST_FAILURE_SHARE = 1.0
 """A service is taken as broken until it has worked: the first failures prove nothing."""
 
+NO_TRIAL = 0
+"""The trial of a task that went to a worker which was trusted."""
+
 
 class WorkerStanding(enum.Enum):
     """How far a worker is trusted with an account's tasks."""
@@ -113,10 +116,11 @@
 class _Record:
     """What speaks against a worker. There is none for a worker that has shown nothing bad.
 
-    ``window`` has a bit for each of the last run times, set where it was slow.
+    ``window`` has a bit for each of the last run times, set where it was slow. ``trial`` is the
+    number of the last trial, and ``out`` how many of its tasks are out.
     """
 
-    __slots__ = ("ejections", "failures", "out", "standing", "until", "window")
+    __slots__ = ("ejections", "failures", "out", "standing", "trial", "until", "window")
 
     def __init__(self) -> None:
         self.standing = WorkerStanding.GOOD
@@ -124,6 +128,7 @@
         self.window = 0
         self.ejections = 0
         self.until = 0.0
+        self.trial = NO_TRIAL
         self.out = 0
 
     @property
@@ -131,6 +136,16 @@
         """Whether the worker is to be ejected."""
         return self.failures >= FAILURES_TO_EJECT or self.window.bit_count() >= SLOW_SAMPLES
 
+    def begin_trial(self) -> None:
+        """Let one task tell whether the worker is still bad."""
+        self.standing = WorkerStanding.PROBATION
+        self.trial += 1
+        self.out = 0
+
+    def is_tried_by(self, trial: int) -> bool:
+        """Tell whether a task of this trial decides about the worker now."""
+        return self.standing is WorkerStanding.PROBATION and trial == self.trial
+
     @property
     def is_clean(self) -> bool:
         """Whether nothing speaks against the worker any more."""
@@ -172,16 +187,19 @@
             return 0
         return min(room, max(0, 1 - record.out))
 
-    def note_sent(self, worker: str, count: int) -> None:
-        """Note that tasks went to a worker."""
-        if worker in self._distrusted:
-            self._records[worker].out += count
+    def note_sent(self, worker: str, count: int) -> int:
+        """Note that tasks went to a worker; return the number of the trial that they are for."""
+        record = self._records.get(worker)
+        if record is None or record.standing is not WorkerStanding.PROBATION:
+            return NO_TRIAL
+        record.out += count
+        return record.trial
 
-    def note_resolved(self, worker: str) -> None:
+    def note_resolved(self, worker: str, *, trial: int) -> None:
         """Note that a task came back from a worker, in whatever way."""
-        if worker in self._distrusted:
-            record = self._records[worker]
-            record.out = max(0, record.out - 1)
+        record = self._records.get(worker)
+        if record is not None and record.is_tried_by(trial):
+            record.out -= 1
 
     def observe(
         self,
@@ -192,9 +210,13 @@
         is_failure: bool,
         now: float,
         workers: int,
+        trial: int = NO_TRIAL,
     ) -> bool:
         """Take the outcome of a task; ``workers`` is how many there are to choose from.
 
+        ``trial`` is what :meth:`note_sent` returned for it. Only a trial's own task ends it: others
+        come back that the worker got before.
+
         Tell whether a task on trial showed the worker to be bad still.
         """
         observations = self.get_service(service)
@@ -206,7 +228,7 @@
         if record is None and not is_bad:
             return False
         record = self._note(worker, is_slow=is_slow, is_failure=is_failure, is_bad=is_bad)
-        if record.standing is WorkerStanding.PROBATION:
+        if record.is_tried_by(trial):
             return self._end_probation(worker, record, is_bad or is_failure, now)
         self._settle(worker, record, now, workers)
         return False
@@ -234,7 +256,7 @@
         for name in self._distrusted:
             record = self._records[name]
             if record.standing is WorkerStanding.EJECTED and now >= record.until:
-                record.standing = WorkerStanding.PROBATION
+                record.begin_trial()
                 is_changed = True
         return is_changed
 
@@ -298,6 +320,7 @@
         is_failure: bool,
         now: float,
         workers: int,
+        trial: int,
     ) -> None:
         """Take the outcome of a task of an account."""
         own = self.get(account)
@@ -308,6 +331,7 @@
             is_failure=is_failure,
             now=now,
             workers=workers,
+            trial=trial,
         )
         if not has_failed_trial:
             return
--- a/tests/core/test_health.py
+++ b/tests/core/test_health.py
@@ -5,6 +5,7 @@
 import testtools
 
 from dalemast.core.placement import HealthMonitor
+from dalemast.core.placement.health import NO_TRIAL
 
 WORKERS = 10
 NOW = 100.0
@@ -16,7 +17,13 @@
         self.health = HealthMonitor()
 
     def observe(
-        self, worker: int, *, run_s: float = 0.1, fails: bool = False, now: float = NOW
+        self,
+        worker: int,
+        *,
+        run_s: float = 0.1,
+        fails: bool = False,
+        now: float = NOW,
+        trial: int = NO_TRIAL,
     ) -> None:
         self.health.observe(
             worker=f"w{worker}",
@@ -25,16 +32,17 @@
             is_failure=fails,
             now=now,
             workers=WORKERS,
+            trial=trial,
         )
 
-    def send(self) -> object:
-        """Send a task to the worker w0."""
+    def send(self) -> int:
+        """Send a task to the worker w0 and return its trial."""
         return self.health.note_sent("w0", 1)
 
-    def end(self, sent: object) -> None:
-        """End a task that was sent well."""
-        self.health.note_resolved("w0")
-        self.observe(0, now=NOW + 4.0)
+    def end(self, trial: int) -> None:
+        """End a task of a trial well."""
+        self.health.note_resolved("w0", trial=trial)
+        self.observe(0, now=NOW + 4.0, trial=trial)
 
     def work(self, rounds: int = 6, run_s: float = 0.1) -> None:
         for _ in range(rounds):
@@ -75,10 +83,10 @@
         self.assertFalse(self.health.tick(now=NOW + 3.0))
         self.assertTrue(self.health.tick(now=NOW + 4.0))
         self.assertEqual(self.health.get_allowance("w0", 8), 1)
-        self.health.note_sent("w0", 1)
+        trial = self.health.note_sent("w0", 1)
         self.assertEqual(self.health.get_allowance("w0", 8), 0)
-        self.health.note_resolved("w0")
-        self.observe(0, now=NOW + 3.1)
+        self.health.note_resolved("w0", trial=trial)
+        self.observe(0, now=NOW + 3.1, trial=trial)
         self.assertEqual(self.health.get_allowance("w0", 8), 8)
 
     def test_failed_probation_waits_longer(self) -> None:
@@ -86,7 +94,8 @@
         for _ in range(3):
             self.observe(0, fails=True)
         self.health.tick(now=NOW + 4.0)
-        self.observe(0, fails=True, now=NOW + 4.0)
+        trial = self.health.note_sent("w0", 1)
+        self.observe(0, fails=True, now=NOW + 4.0, trial=trial)
         self.assertFalse(self.health.tick(now=NOW + 11.0))
         self.assertTrue(self.health.tick(now=NOW + 13.0))
 
