--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -193,6 +193,35 @@
         self.run_async(scenario())
 
 
+class NumberTests(DeskTestCase):
+    """Runs of an id are told apart by their numbers, also those of two submissions.
+
+    A job was given up, its id was freed by time, and it came again to the same entry, whose first
+    run got the number 1 on the same worker. The end of the first submission's run 1 then arrived,
+    late, and was taken for that of the second: its task began elsewhere while it ran.
+    """
+
+    def test_a_late_end_of_an_earlier_submission_ends_no_run(self) -> None:
+        async def scenario() -> None:
+            desk = self.make_desk("w1")
+            first = await self.submit(desk)
+            desk.leave(JOB)
+            await first
+            desk.tick(time.monotonic() + TIMES.lost_run_s)
+            second = await self.submit(desk)
+            old, new = self.starts
+            desk.apply(
+                self.scheduler.end_run(
+                    "w1", JOB, KEY, old.run, EndReason.NO_ROOM, run_s=0.0, now=time.monotonic()
+                )
+            )
+            self.assertEqual([old, new], self.starts)
+            desk.leave(JOB)
+            await second
+
+        self.run_async(scenario())
+
+
 class ClaimTests(DeskTestCase):
     """A claim belongs to one submission, whenever its answer comes.
 
