Reproduce a start by an entry that stood still: a test that fails

Cause: a report of room that waited in a socket while its entry stood still is acted on before the entry notices its pause; a waiting job whose claim has lapsed begins, beside its run elsewhere. Ruled out: the stop that follows in the next turn of the loop as a protection; runs begin within it.

--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -317,3 +317,24 @@
             await job
 
         self.run_async(scenario())
+
+    def test_nothing_starts_between_a_standstill_and_what_it_gives_up(self) -> None:
+        """Messages that waited in the sockets are acted on before the process knows of its pause.
+
+        An agent's report of free room let a waiting job begin, whose claim had lapsed meanwhile.
+        """
+
+        async def scenario() -> None:
+            desk = self.make_desk()
+            desk.tick(self.now)
+            job = asyncio.ensure_future(desk.run(make_job(JOB)))
+            await wait_until(lambda: bool(self.scheduler.open_jobs), "the job to wait")
+            later = self.now + 2 * TIMES.lost_run_s
+            with mock.patch("dalemast.fleet.entry.desk.time.monotonic", return_value=later):
+                desk.apply(self.add_worker("w1"))
+            self.assertEqual([], self.starts)
+            desk.abandon_begun(later)
+            self.assertEqual({}, self.scheduler.open_jobs)
+            await asyncio.wait_for(job, 1.0)
+
+        self.run_async(scenario())
