Start nothing between a standstill and the tick that gives up what had begun

Cause: messages that waited while an entry stood still are acted on before its next tick, which drops what had begun and turns away what may have lost its claim. Change: the desk sends no starts while its last tick is older than a standstill takes; the next tick gives those jobs up with the others. Ruled out: the moment of construction as a first tick; parts are loaded after it, and nothing would give up what was held back.

--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -84,7 +85,8 @@
         self._send = send
         self._ask = ask
         self._claims: ClaimKeeper | None = None
-        self._ticked_at = time.monotonic()
+        self._ticked_at = math.inf
+        """When time was last let pass; before the first tick no standstill is known of."""
         self._open: dict[str, OpenJob] = {}
         self._ending: dict[str, dict[StopTask, float]] = {}
         """By ended job, which of its runs are being stopped, and when each is surely over."""
@@ -153,6 +155,9 @@
         if not actions:
             return
         starts = [action for action in actions if isinstance(action, StartTask)]
+        if starts and self._stands_still():
+            # The next tick gives these jobs up, as all that had begun.
+            starts = []
         stops = [action for action in actions if isinstance(action, StopTask)]
         self._send(starts, stops)
         self._prolong(stops)
@@ -264,6 +269,10 @@
             self._end(job_id, stops)
         # A room that was freed is used at the agent's next report.
 
+    def _stands_still(self) -> bool:
+        """Tell whether this process has stood still and not given up yet what had begun."""
+        return time.monotonic() - self._ticked_at > self._times.silence_s
+
     def _finish(self, action: JobFinished, stops: list[StopTask]) -> None:
         job = self._open.pop(action.job.id, None)
         self._end(action.job.id, stops)
