Let the desk recover from a standstill by its process's own watch

Cause: the desk judged a standstill by its last tick, and the process by its own watch. Where the watch is asked more often than at ticks, the desk held starts back that nothing gave up afterwards. Change: the desk asks the process as starts are about to go out, whichever message led to them, and sends none of a job that the recovery has given up. The process has to hand it `check_pause`; without it nothing is checked. A recovery amid a job's end leaves that job alone. Ruled out: checking before each frame of agents alone; claims, evacuations and callers lead to starts too.

--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -67,8 +66,15 @@
             self.answer.set_result(outcome)
 
 
+def _never() -> bool:
+    return False
+
+
 class JobDesk:
-    """The open jobs of one entry."""
+    """The open jobs of one entry.
+
+    ``check_pause`` finds out whether this process has just stood still, and lets it recover.
+    """
 
     def __init__(
         self,
@@ -78,15 +84,16 @@
         metrics: Metrics,
         send: Callable[[list[StartTask], list[StopTask]], None],
         ask: Callable[[AskRoom], None],
+        check_pause: Callable[[], bool] = _never,
     ) -> None:
         self._scheduler = scheduler
         self._times = times
         self._metrics = metrics
         self._send = send
         self._ask = ask
+        self._check_pause = check_pause
         self._claims: ClaimKeeper | None = None
-        self._ticked_at = math.inf
-        """When time was last let pass; before the first tick no standstill is known of."""
+        self._ticked_at = time.monotonic()
         self._open: dict[str, OpenJob] = {}
         self._ending: dict[str, dict[StopTask, float]] = {}
         """By ended job, which of its runs are being stopped, and when each is surely over."""
@@ -155,9 +162,9 @@
         if not actions:
             return
         starts = [action for action in actions if isinstance(action, StartTask)]
-        if starts and self._stands_still():
-            # The next tick gives these jobs up, as all that had begun.
-            starts = []
+        if starts and self._check_pause():
+            # Their jobs were given up with all that had begun.
+            starts = [start for start in starts if start.job.id in self._open]
         stops = [action for action in actions if isinstance(action, StopTask)]
         self._send(starts, stops)
         self._prolong(stops)
@@ -220,9 +227,11 @@
         """
         may_have_lapsed = now - self._ticked_at >= self._times.lost_run_s
         for job_id, job in list(self._open.items()):
-            if not job.is_submitted:
+            known = self._scheduler.open_jobs.get(job_id)
+            if known is None:
+                # It is being claimed, or its end is being carried out.
                 continue
-            if self._scheduler.open_jobs[job_id].has_begun:
+            if known.has_begun:
                 self._drop(job_id, STOOD_STILL)
             elif may_have_lapsed:
                 job.resolve(JobTurnedAway(cause=STOOD_STILL, retry_after_s=STOOD_STILL_RETRY_S))
@@ -269,10 +278,6 @@
             self._end(job_id, stops)
         # A room that was freed is used at the agent's next report.
 
-    def _stands_still(self) -> bool:
-        """Tell whether this process has stood still and not given up yet what had begun."""
-        return time.monotonic() - self._ticked_at > self._times.silence_s
-
     def _finish(self, action: JobFinished, stops: list[StopTask]) -> None:
         job = self._open.pop(action.job.id, None)
         self._end(action.job.id, stops)
--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -79,7 +79,10 @@
             metrics=Metrics(),
             send=self._send,
             ask=lambda asked: None,
+            check_pause=self._check_pause,
         )
+        self.desk = desk
+        self.paused_s = 0.0
         desk.set_claims(self.claims)
         for worker in workers:
             desk.apply(self.add_worker(worker))
@@ -107,6 +110,14 @@
         await wait_until(lambda: len(self.starts) == begun + count, "the starts")
         return job
 
+    def _check_pause(self) -> bool:
+        """Let the desk recover from a standstill, as its process does."""
+        if not self.paused_s:
+            return False
+        self.desk.abandon_begun(self.now + self.paused_s)
+        self.paused_s = 0.0
+        return True
+
     def _send(self, starts: list[StartTask], stops: list[StopTask]) -> None:
         self.starts += starts
         self.stops += stops
@@ -329,11 +340,9 @@
             desk.tick(self.now)
             job = asyncio.ensure_future(desk.run(make_job(JOB)))
             await wait_until(lambda: bool(self.scheduler.open_jobs), "the job to wait")
-            later = self.now + 2 * TIMES.lost_run_s
-            with mock.patch("dalemast.fleet.entry.desk.time.monotonic", return_value=later):
-                desk.apply(self.add_worker("w1"))
+            self.paused_s = 2 * TIMES.lost_run_s
+            desk.apply(self.add_worker("w1"))
             self.assertEqual([], self.starts)
-            desk.abandon_begun(later)
             self.assertEqual({}, self.scheduler.open_jobs)
             await asyncio.wait_for(job, 1.0)
 
