--- a/dalemast/core/dispatch/links.py
+++ b/dalemast/core/dispatch/links.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from dalemast.core.dispatch.jobs import Job
@@ -14,11 +14,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Outstanding:
-    """A task that was sent and not resolved. ``sent_at`` is on the owner's clock, in seconds."""
+    """A task that was sent and not resolved. ``sent_at`` is on the owner's clock, in seconds.
+
+    ``trial`` is the number of the trial of its worker that it is for, or 0.
+    """
 
     job: Job
     index: int
     sent_at: float
+    trial: int
 
 
 class WorkerLink:
@@ -28,6 +32,7 @@
         self,
         *,
         view: WorkerView,
+        connections: Iterator[int],
         on_due: Callable[[WorkerLink], None],
         on_watched: Callable[[WorkerLink], None],
     ) -> None:
@@ -40,7 +45,7 @@
         self.seen = 0
         self.confirmed = 0
         self.unconfirmed_since = 0.0
-        self.connection = 0
+        self._connections = connections
         self._number = 0
         self._starts: dict[int, list[int]] = {}
         self._jobs: dict[int, Job] = {}
@@ -65,22 +70,21 @@
 
     def make_hello(self, *, owner: str, entry: str, data_centre: str) -> EntryHello:
         """Return the first message of a new connection."""
-        self.connection += 1
         return EntryHello(
             owner=owner,
             entry=entry,
-            connection=self.connection,
+            connection=next(self._connections),
             session=self.view.session,
             seen=self.seen,
             data_centre=data_centre,
         )
 
-    def add_start(self, job: Job, index: int, now: float) -> None:
+    def add_start(self, job: Job, index: int, *, trial: int, now: float) -> None:
         """Note a start for the next frame and count the task as out."""
         key = (job.number, index)
         if key not in self.outstanding:
             self.view.own += 1
-        self.outstanding[key] = Outstanding(job=job, index=index, sent_at=now)
+        self.outstanding[key] = Outstanding(job=job, index=index, sent_at=now, trial=trial)
         self._starts.setdefault(job.number, []).append(index)
         self._jobs[job.number] = job
         self._on_due(self)
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -19,7 +19,7 @@
     StartTask,
     StopTask,
 )
-from dalemast.core.workloads import JobRequest
+from dalemast.core.workloads import JobRequest, TaskKey
 from dalemast.fleet.base import JobDone, JobDropped, JobOutcome, JobTurnedAway
 from dalemast.fleet.frames import RunEnded
 from dalemast.fleet.timing import FleetTimes
@@ -32,6 +32,9 @@
 CLAIM_PATIENCE_S = 1.5
 """How long an id that is held elsewhere is waited for: its owner's runs end within the time of
 :attr:`FleetTimes.lost_run_s`."""
+STOOD_STILL = "the entry stood still"
+STOOD_STILL_RETRY_S = 0.1
+"""When the caller of a job that waited meanwhile may come back."""
 
 
 class ClaimKeeper(Protocol):
@@ -63,8 +66,15 @@
             self.answer.set_result(outcome)
 
 
+def _never() -> bool:
+    return False
+
+
 class JobDesk:
-    """The open jobs of one entry."""
+    """The open jobs of one entry.
+
+    ``check_pause`` finds out whether this process has just stood still, and lets it recover.
+    """
 
     def __init__(
         self,
@@ -74,16 +84,19 @@
         metrics: Metrics,
         send: Callable[[list[StartTask], list[StopTask]], None],
         ask: Callable[[AskRoom], None],
+        check_pause: Callable[[], bool] = _never,
     ) -> None:
         self._scheduler = scheduler
         self._times = times
         self._metrics = metrics
         self._send = send
         self._ask = ask
+        self._check_pause = check_pause
         self._claims: ClaimKeeper | None = None
+        self._ticked_at = time.monotonic()
         self._open: dict[str, OpenJob] = {}
-        self._ending: dict[str, tuple[int, float]] = {}
-        """Ids of ended jobs with stops under way: how many, and when they are surely over."""
+        self._ending: dict[str, dict[StopTask, float]] = {}
+        """By ended job, which of its runs are being stopped, and when each is surely over."""
 
     def __len__(self) -> int:
         return len(self._open)
@@ -93,13 +106,23 @@
         self._claims = claims
 
     def get_open_ids(self) -> list[str]:
-        """Return the ids that this entry has claimed."""
+        """Return the ids that this entry was granted or is asking for."""
         return [*self._open, *self._ending]
 
+    def get_claimed_ids(self) -> list[str]:
+        """Return the ids that this entry was granted and has not released."""
+        granted = [job_id for job_id, job in self._open.items() if job.is_submitted]
+        return [*granted, *self._ending]
+
     def has_open(self, job_id: str) -> bool:
-        """Whether this entry has claimed an id."""
+        """Whether this entry was granted an id or is asking for it."""
         return job_id in self._open or job_id in self._ending
 
+    def is_live(self, job_id: str) -> bool:
+        """Whether a job that was granted is being run here, and not being stopped."""
+        job = self._open.get(job_id)
+        return job is not None and job.is_submitted
+
     async def run(self, request: JobRequest) -> JobOutcome:
         """Run a job to its end. A second submission here takes the first one's place."""
         now = time.monotonic()
@@ -112,14 +135,13 @@
         job = OpenJob(request=request, arrived_at=now)
         self._open[request.id] = job
         refusal = await self._claim(job)
-        if refusal is not None:
-            if self._open.get(request.id) is job:
-                del self._open[request.id]
-                self._release(request.id)
-            job.resolve(refusal)
-            return await job.answer
         if self._open.get(request.id) is not job:
+            self._release_unless_reused(request.id)
+            return await job.answer
+        if refusal is not None:
+            del self._open[request.id]
             self._release(request.id)
+            job.resolve(refusal)
             return await job.answer
         job.is_submitted = True
         job.submitted_at = time.monotonic()
@@ -140,14 +162,15 @@
         if not actions:
             return
         starts = [action for action in actions if isinstance(action, StartTask)]
+        if starts and self._check_pause():
+            # Their jobs were given up with all that had begun.
+            starts = [start for start in starts if start.job.id in self._open]
         stops = [action for action in actions if isinstance(action, StopTask)]
         self._send(starts, stops)
-        ended_stops: dict[str, int] = {}
-        for stop in stops:
-            ended_stops[stop.job_id] = ended_stops.get(stop.job_id, 0) + 1
+        self._prolong(stops)
         for action in actions:
             if isinstance(action, JobFinished):
-                self._finish(action, ended_stops.get(action.job.id, 0))
+                self._finish(action, [stop for stop in stops if stop.job_id == action.job.id])
             elif isinstance(action, JobRefused):
                 self._refuse(action)
             elif isinstance(action, AskRoom):
@@ -155,24 +178,22 @@
             elif isinstance(action, RunPresumedOver):
                 self._note_presumed_over(action)
 
-    def note_end(self, news: RunEnded) -> None:
-        """Note that a run has ended; the last one of an ended job frees its id."""
-        ending = self._ending.get(news.run.job)
-        if ending is None:
-            return
-        left, over_at = ending
-        if left > 1:
-            self._ending[news.run.job] = (left - 1, over_at)
-            return
-        del self._ending[news.run.job]
-        self._release(news.run.job)
+    def note_end(self, news: RunEnded, worker: str) -> None:
+        """Note that a run has ended; the last one of an ended job frees its id.
+
+        Runs are told apart by worker, task and number. Ends of a job's other runs may come at any
+        time: an agent that was out of reach tells of them once it is back.
+        """
+        row = news.run
+        key = TaskKey(row.step, row.position)
+        self._note_over(StopTask(worker=worker, job_id=row.job, task=key, run=row.run))
 
     def tick(self, now: float) -> None:
         """Let time pass: free ids whose runs are surely over, and let the scheduler decide."""
-        for job_id, (_, over_at) in list(self._ending.items()):
-            if now >= over_at:
-                del self._ending[job_id]
-                self._release(job_id)
+        self._ticked_at = now
+        for runs in list(self._ending.values()):
+            for run in [run for run, over_at in runs.items() if now >= over_at]:
+                self._note_over(run)
         self.apply(self._scheduler.tick(now=now))
         self._log_overdue(now)
 
@@ -199,10 +220,22 @@
             )
 
     def abandon_begun(self, now: float) -> None:
-        """Drop what has begun, after this process stood still: the runs were stopped meanwhile."""
+        """Drop what has begun, after this process stood still: the runs were stopped meanwhile.
+
+        What waits is turned away if it stood still for so long that claims of its have lapsed: the
+        ids may have been granted to other entries.
+        """
+        may_have_lapsed = now - self._ticked_at >= self._times.lost_run_s
         for job_id, job in list(self._open.items()):
-            if job.is_submitted and self._scheduler.open_jobs[job_id].has_begun:
-                self._drop(job_id, "the entry stood still")
+            known = self._scheduler.open_jobs.get(job_id)
+            if known is None:
+                # It is being claimed, or its end is being carried out.
+                continue
+            if known.has_begun:
+                self._drop(job_id, STOOD_STILL)
+            elif may_have_lapsed:
+                job.resolve(JobTurnedAway(cause=STOOD_STILL, retry_after_s=STOOD_STILL_RETRY_S))
+                self._drop(job_id, STOOD_STILL)
 
     def abandon_all(self) -> None:
         """Drop every job, since this process ends."""
@@ -242,10 +275,10 @@
         self._metrics.count(f"jobs.dropped.{cause.replace(' ', '-')}")
         job.resolve(JobDropped(cause=cause))
         if job.is_submitted:
-            self._end(job_id, len(stops))
+            self._end(job_id, stops)
         # A room that was freed is used at the agent's next report.
 
-    def _finish(self, action: JobFinished, stops: int) -> None:
+    def _finish(self, action: JobFinished, stops: list[StopTask]) -> None:
         job = self._open.pop(action.job.id, None)
         self._end(action.job.id, stops)
         if job is None:
@@ -305,12 +338,38 @@
             lost_s=round(action.lost_s, 3),
         )
 
-    def _end(self, job_id: str, stops: int) -> None:
-        """Free a job's id, once its stops are confirmed."""
-        if stops:
-            over_at = time.monotonic() + self._times.lost_run_s
-            self._ending[job_id] = (stops, over_at)
-        else:
+    def _end(self, job_id: str, stops: list[StopTask]) -> None:
+        """Free a job's id, once its stops are confirmed or its runs have ended by themselves."""
+        if not stops:
+            self._release(job_id)
+            return
+        over_at = time.monotonic() + self._times.lost_run_s
+        self._ending[job_id] = dict.fromkeys(stops, over_at)
+
+    def _prolong(self, stops: list[StopTask]) -> None:
+        """Wait anew for runs of ended jobs that an agent lists still: they are stopped by now only.
+
+        Any word of this entry to that agent has prolonged them meanwhile.
+        """
+        over_at = time.monotonic() + self._times.lost_run_s
+        for stop in stops:
+            if stop.job_id in self._ending:
+                self._ending[stop.job_id][stop] = over_at
+
+    def _note_over(self, run: StopTask) -> None:
+        """Take a run off those that are being stopped; the last one frees the id."""
+        runs = self._ending.get(run.job_id, {})
+        if runs.pop(run, None) is None or runs:
+            return
+        del self._ending[run.job_id]
+        self._release(run.job_id)
+
+    def _release_unless_reused(self, job_id: str) -> None:
+        """Free an id that was claimed for a caller that has left meanwhile.
+
+        The job may have come again: then the claim is the next submission's as well.
+        """
+        if not self.has_open(job_id):
             self._release(job_id)
 
     def _release(self, job_id: str) -> None:
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -77,6 +77,7 @@
             metrics=self._metrics,
             send=lambda starts, stops: self._agents.send(starts, stops),
             ask=lambda asked: self._agents.ask(asked),
+            check_pause=self._check_pause,
         )
         self._agents = AgentLinks(
             member=self._member,
