Tell the worker's steady clock with its account

Cause: what was promised to a worker counts on its own clock, and its reports tell that clock, but WorkerLife dropped it, so nothing could relate a report to a lease.

Change: WorkerLife.clock_s holds the clock of the report in seconds, None where the report has none; the registration fills it. Nothing reads it yet.

Measured: tests/platform/test_registration.py, 2 passed.

--- a/dalemast/core/supervision/base.py
+++ b/dalemast/core/supervision/base.py
@@ -24,7 +24,8 @@
 class WorkerLife:
     """A worker's account of itself. ``id`` is new with each of its lives.
 
-    ``remaining_s`` is the least time it has left while it leaves, if it says so.
+    ``remaining_s`` is the least time it has left while it leaves, if it says so. ``clock_s`` is the
+    worker's steady clock as it reported, in seconds, if it did.
     """
 
     id: str
@@ -34,6 +35,7 @@
     labels: frozenset[str]
     is_leaving: bool
     remaining_s: float | None = None
+    clock_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dalemast/platform/registration.py
+++ b/dalemast/platform/registration.py
@@ -89,7 +89,6 @@
         if beat.seq and beat.seq <= self._numbers.get(life_id, 0):
             return
         self._numbers[life_id] = beat.seq
-        remaining_s = None if beat.remaining_ms is None else beat.remaining_ms / 1000
         self._observer.meet_life(
             WorkerLife(
                 id=life_id,
@@ -102,10 +101,15 @@
                 ),
                 labels=frozenset(beat.labels),
                 is_leaving=beat.state == LEAVING,
-                remaining_s=remaining_s,
+                remaining_s=_to_seconds(beat.remaining_ms),
+                clock_s=_to_seconds(beat.clock_ms),
             )
         )
 
     def take_end(self, life_id: str) -> None:
         """Pass on that a worker ends."""
         self._observer.lose_life(life_id)
+
+
+def _to_seconds(time_ms: float | None) -> float | None:
+    return None if time_ms is None else time_ms / 1000
