Take from the reports on a host only what its worker can have sent

Cause: defaults stood in for missing fields, any state but one counted as ready, and whoever wrote under the worker's id replaced its account, ended it, or raised the number below which its own reports are passed over.

What does not go on is refused, unless it goes on by itself three times in a row, over a second or more, while the believed line is silent: so a foreign report that came first is corrected. 32 lives are remembered in place of all. An end is passed on only for a life that said that it leaves. A refusal is answered with 400, counted and logged.

Ruled out: pinning the first account of a life (one foreign report before the worker's own would shut it out for its life); a limit on numbers alone (a foreign number inside it silences the worker for as long as it takes to catch up); taking the service from the last life, since a machine may change its pool; refusing a leaving worker's report without the time that is left.

A service that no configuration names is not refused here, since agents know no configuration; entries match a worker's service with that of a queue, so that nothing is placed on it.

--- a/dalemast/fleet/base.py
+++ b/dalemast/fleet/base.py
@@ -19,6 +19,7 @@
 )
 from dalemast.core.supervision.base import WorkerLife
 from dalemast.core.workloads import JobRequest, Queue, QueueTable
+from dalemast.observability import Metrics
 
 __all__ = [
     "BaseIngress",
@@ -226,11 +227,17 @@
 
 
 class BaseRegistration(abc.ABC):
-    """Takes the worker's reports on the agent's host."""
+    """Takes the worker's reports on the agent's host.
 
-    def __init__(self, *, settings: Any, observer: WorkerObserver) -> None:
+    ``metrics`` counts the reports that are not the worker's.
+    """
+
+    def __init__(
+        self, *, settings: Any, observer: WorkerObserver, metrics: Metrics | None = None
+    ) -> None:
         self._settings = settings
         self._observer = observer
+        self._metrics = metrics or Metrics()
 
     @abc.abstractmethod
     def start(self) -> None:
--- /dev/null
+++ b/dalemast/platform/lines.py
@@ -0,0 +1,129 @@
+"""The reports of each life in their order, when another writer sends some under the same id.
+
+A life says the same of its capacity, service and labels for as long as it lasts, and its numbers
+rise by one a report. What does not go on from there is not taken, unless it proves to be the
+worker's: then it goes on by itself while the line that was believed has fallen silent. So a foreign
+report costs the worker nothing, and one that came first is believed for some reports only.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from dalemast.core.workloads import Resources
+from dalemast.platform.foreign import Fault, ForeignInput
+
+__all__ = ["Account", "ReportLine", "ReportLines"]
+
+NUMBERS_AHEAD = 8
+"""How far a number may be ahead of the one before at once: reports that went to other processes."""
+NUMBERS_PER_S = 20
+"""How much further for each second of silence. A worker reports about every 1.5 s, and more often
+while a report stays unanswered."""
+RIVAL_REPORTS = 3
+"""Reports in a row after which a line replaces one that is silent meanwhile."""
+RIVAL_S = 1.0
+"""Shortest time between the first and the last of them, so that a burst of late reports, delivered
+together, is not enough."""
+MAX_LINES = 32
+"""Lives that are remembered. A worker has few within one life of its agent; ids of another writer
+may be new each time."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Account:
+    """What a life says of itself that never changes."""
+
+    service: str
+    capacity: Resources
+    labels: frozenset[str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Rival:
+    """Reports in a row that do not go on from the believed ones."""
+
+    account: Account
+    number: int
+    count: int
+    since: float
+
+
+class ReportLine:
+    """The reports of one life. Times are the agent's steady clock, in seconds."""
+
+    def __init__(self, *, account: Account, number: int, now: float) -> None:
+        self._rival: Rival | None = None
+        self.is_leaving = False
+        """Whether its last report that was taken said that it leaves."""
+        self._believe(account, number, now)
+
+    @property
+    def heard_at(self) -> float:
+        """When its last report was taken."""
+        return self._heard_at
+
+    def take(self, account: Account, number: int, *, now: float) -> bool:
+        """Return whether a report is news; raises :class:`ForeignInput` if it is foreign."""
+        limit = self._number + NUMBERS_AHEAD + NUMBERS_PER_S * (now - self._heard_at)
+        is_same = account == self._account
+        if (is_same and self._number < number <= limit) or self._replaces(account, number, now):
+            self._believe(account, number, now)
+            return True
+        if not is_same:
+            raise ForeignInput(Fault.OTHER_ACCOUNT, f"{account} instead of {self._account}")
+        if number > limit:
+            raise ForeignInput(Fault.NUMBER_JUMPED, f"from {self._number} to {number}")
+        return False
+
+    def _replaces(self, account: Account, number: int, now: float) -> bool:
+        """Note a report that does not go on from the last; tell whether it is to be believed."""
+        rival = self._rival
+        if rival is None or rival.account != account or number <= rival.number:
+            self._rival = Rival(account=account, number=number, count=1, since=now)
+            return False
+        count = rival.count + 1
+        self._rival = Rival(account=account, number=number, count=count, since=rival.since)
+        return count >= RIVAL_REPORTS and now - rival.since >= RIVAL_S
+
+    def _believe(self, account: Account, number: int, now: float) -> None:
+        self._account = account
+        self._number = number
+        self._heard_at = now
+        self._rival = None
+
+
+class ReportLines:
+    """The lines of the lives that were heard last."""
+
+    def __init__(self) -> None:
+        self._lines: dict[str, ReportLine] = {}
+
+    def __len__(self) -> int:
+        return len(self._lines)
+
+    def take(
+        self, life_id: str, account: Account, number: int, *, is_leaving: bool, now: float
+    ) -> bool:
+        """Return whether a report is news; raises :class:`ForeignInput` if it is foreign."""
+        line = self._lines.get(life_id)
+        if line is None:
+            line = self._add(life_id, account, number, now)
+        elif not line.take(account, number, now=now):
+            return False
+        line.is_leaving = is_leaving
+        return True
+
+    def check_end(self, life_id: str) -> None:
+        """Raise :class:`ForeignInput` unless this life has said that it leaves."""
+        line = self._lines.get(life_id)
+        if line is None or not line.is_leaving:
+            raise ForeignInput(Fault.NOT_ANNOUNCED, "unknown" if line is None else "not leaving")
+
+    def _add(self, life_id: str, account: Account, number: int, now: float) -> ReportLine:
+        if len(self._lines) >= MAX_LINES:
+            oldest = min(self._lines, key=lambda known: self._lines[known].heard_at)
+            del self._lines[oldest]
+        line = ReportLine(account=account, number=number, now=now)
+        self._lines[life_id] = line
+        return line
--- a/dalemast/platform/registration.py
+++ b/dalemast/platform/registration.py
@@ -1,7 +1,10 @@
-"""Takes the heartbeats of the worker on this host."""
+"""Takes the heartbeats of the worker on this host, and no others."""
 
 from __future__ import annotations
 
+import abc
+import time
+
 import msgspec
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
@@ -10,58 +13,71 @@
 from dalemast.core.workloads import Resources
 from dalemast.fleet.base import BaseRegistration, WorkerObserver
 from dalemast.http.server import bind_address, log_nothing
-from dalemast.observability import log_error
-from dalemast.platform.wire import Heartbeat
+from dalemast.observability import Metrics, RefusalLog
+from dalemast.platform.foreign import ForeignInput, check_id, read_report
+from dalemast.platform.lines import Account, ReportLines
+from dalemast.platform.wire import Heartbeat, WorkerState
 from dalemast.settings import FleetAgentSettings
 
-__all__ = ["PlatformRegistration"]
+__all__ = ["FOREIGN_REPORT", "PlatformRegistration"]
 
-LEAVING = "draining"
 BACKLOG = 64
 """Connections that may wait to be accepted: one worker reports here."""
-
-_decoder = msgspec.json.Decoder(Heartbeat)
+FOREIGN_REPORT = "report:foreign"
+"""Log line of a report that is not the worker's, and with dots the beginning of its counters."""
 
 
-class HeartbeatHandler(RequestHandler):
-    """A worker's report. Reports that arrive out of order are passed over by their number."""
+class BaseReportHandler(RequestHandler, abc.ABC):
+    """What workers send. Only what is taken is acknowledged."""
 
     def initialize(self, registration: PlatformRegistration) -> None:
         """Take what the routes give."""
         self._registration = registration
 
+    def decode_argument(self, value: bytes, name: str | None = None) -> str:
+        """Return an id also if it is no UTF-8: such a one is refused like any other."""
+        return value.decode(errors="replace")
+
     def post(self, life_id: str) -> None:
-        """Take in a report."""
+        """Take it in."""
         try:
-            beat = _decoder.decode(self.request.body)
-        except msgspec.MsgspecError as error:
-            log_error("worker:bad-heartbeat", worker=life_id, reason=str(error))
+            self._take(life_id)
+        except ForeignInput as refusal:
+            self._registration.note_foreign(life_id, refusal, sender=self.request.remote_ip or "")
             self.set_status(400)
-            return
-        self._registration.take(life_id, beat)
         self.set_header("Content-Type", "application/json")
         self.finish(b"{}")
 
+    @abc.abstractmethod
+    def _take(self, life_id: str) -> None:
+        """Take it in, or raise :class:`ForeignInput`."""
 
-class DeregisterHandler(RequestHandler):
-    """A worker's word that it ends."""
 
-    def initialize(self, registration: PlatformRegistration) -> None:
-        """Take what the routes give."""
-        self._registration = registration
+class HeartbeatHandler(BaseReportHandler):
+    """A worker's report. Reports that arrive out of order are passed over by their number."""
 
-    def post(self, life_id: str) -> None:
-        """Take it in."""
+    def _take(self, life_id: str) -> None:
+        self._registration.take(life_id, self.request.body)
+
+
+class DeregisterHandler(BaseReportHandler):
+    """A worker's word that it ends."""
+
+    def _take(self, life_id: str) -> None:
         self._registration.take_end(life_id)
-        self.set_header("Content-Type", "application/json")
-        self.finish(b"{}")
 
 
 class PlatformRegistration(BaseRegistration):
     """The address where the worker on this host reports."""
 
-    def __init__(self, *, settings: FleetAgentSettings, observer: WorkerObserver) -> None:
-        super().__init__(settings=settings, observer=observer)
+    def __init__(
+        self,
+        *,
+        settings: FleetAgentSettings,
+        observer: WorkerObserver,
+        metrics: Metrics | None = None,
+    ) -> None:
+        super().__init__(settings=settings, observer=observer, metrics=metrics)
         arguments = {"registration": self}
         self._server = HTTPServer(
             Application(
@@ -72,7 +88,8 @@
                 log_function=log_nothing,
             )
         )
-        self._numbers: dict[str, int] = {}
+        self._lines = ReportLines()
+        self._refusals = RefusalLog(event=FOREIGN_REPORT, metrics=self._metrics)
 
     def start(self) -> None:
         """Listen."""
@@ -84,32 +101,50 @@
         self._server.stop()
         await self._server.close_all_connections()
 
-    def take(self, life_id: str, beat: Heartbeat) -> None:
-        """Pass a report on unless a newer one has arrived."""
-        if beat.seq and beat.seq <= self._numbers.get(life_id, 0):
-            return
-        self._numbers[life_id] = beat.seq
-        self._observer.meet_life(
-            WorkerLife(
-                id=life_id,
-                service=beat.service,
-                data_centre=beat.zone,
-                capacity=Resources(
-                    cpu=beat.capacity.cpu,
-                    memory_mb=beat.capacity.memory_mb,
-                    gpu=beat.capacity.gpu,
-                ),
-                labels=frozenset(beat.labels),
-                is_leaving=beat.state == LEAVING,
-                remaining_s=_to_seconds(beat.remaining_ms),
-                clock_s=_to_seconds(beat.clock_ms),
-            )
+    def take(self, life_id: str, data: bytes) -> None:
+        """Pass a report on unless a newer one has arrived; raises :class:`ForeignInput`."""
+        check_id(life_id)
+        beat = read_report(
+            data,
+            address=self._settings.worker.address,
+            data_centre=self._settings.data_centre,
+        )
+        life = _make_life(life_id, beat)
+        account = Account(service=life.service, capacity=life.capacity, labels=life.labels)
+        is_news = self._lines.take(
+            life_id, account, beat.seq, is_leaving=life.is_leaving, now=time.monotonic()
         )
+        if is_news:
+            self._observer.meet_life(life)
 
     def take_end(self, life_id: str) -> None:
-        """Pass on that a worker ends."""
+        """Pass on that a worker ends which has said that it leaves; or :class:`ForeignInput`."""
+        self._lines.check_end(life_id)
         self._observer.lose_life(life_id)
 
+    def note_foreign(self, life_id: str, refusal: ForeignInput, *, sender: str) -> None:
+        """Count and log what was not taken. ``sender`` is the IP number that it came from."""
+        self._refusals.note(
+            writer=life_id, reason=refusal.fault.value, detail=refusal.detail, sender=sender
+        )
+
 
-def _to_seconds(time_ms: float | None) -> float | None:
-    return None if time_ms is None else time_ms / 1000
+def _make_life(life_id: str, beat: Heartbeat) -> WorkerLife:
+    return WorkerLife(
+        id=life_id,
+        service=beat.service,
+        data_centre=beat.zone,
+        capacity=Resources(
+            cpu=beat.capacity.cpu,
+            memory_mb=beat.capacity.memory_mb,
+            gpu=beat.capacity.gpu,
+        ),
+        labels=frozenset(beat.labels),
+        is_leaving=beat.state is WorkerState.LEAVING,
+        remaining_s=_to_seconds(beat.remaining_ms),
+        clock_s=_to_seconds(beat.clock_ms),
+    )
+
+
+def _to_seconds(time_ms: float | msgspec.UnsetType) -> float | None:
+    return None if isinstance(time_ms, msgspec.UnsetType) else time_ms / 1000
--- a/dalemast/platform/wire.py
+++ b/dalemast/platform/wire.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import Annotated, Any
 
 import msgspec
@@ -26,10 +27,22 @@
     "StopCall",
     "TransactionCall",
     "WaitingBody",
+    "WorkerState",
 ]
 
 EXPECTED_LIFE_HEADER = "Dalemast-Expect-Instance"
 DEADLINE_HEADER = "Dalemast-Deadline-Ms"
+MAX_TEXT = 200
+"""Characters of a name, address or label; keys of the store have as many bytes at most."""
+MAX_LABELS = 64
+"""Labels of a worker. The platform gives two: its kind and its rack."""
+MAX_AMOUNT = 10**9
+"""Largest amount of a resource: a million cores, a thousand terabytes. No worker has as much, and
+sums of it stay exact."""
+MAX_MS = 1e15
+"""Longest time: 30,000 years in milliseconds, which a float still tells one by one."""
+MAX_SEQ = 2**53
+"""Highest number of a report, which every JSON library reads without loss."""
 
 
 class Wire(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -162,25 +175,46 @@
     writes: tuple[RowWrite, ...] = msgspec.field(default=(), name="set_keys")
 
 
+class WorkerState(enum.Enum):
+    """What a worker says of itself."""
+
+    READY = "ready"
+    LEAVING = "draining"
+
+
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT)]
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_AMOUNT)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+
+
 class CapacityBody(Wire, frozen=True, kw_only=True):
     """What a worker has."""
 
-    cpu: int = 0
-    memory_mb: int = msgspec.field(default=0, name="mem_mb")
-    gpu: int = 0
+    cpu: Positive
+    memory_mb: Positive = msgspec.field(name="mem_mb")
+    gpu: Amount = 0
 
 
 class Heartbeat(Wire, frozen=True, kw_only=True):
-    """A worker's account of itself."""
-
-    service: str
-    zone: str = ""
-    state: str = "ready"
-    seq: int = 0
-    capacity: CapacityBody = CapacityBody()
-    labels: tuple[str, ...] = ()
-    clock_ms: float | None = None
-    remaining_ms: float | None = None
+    """A worker's account of itself.
+
+    A field is UNSET where the sender left it out. Of these only ``clock_ms`` and ``remaining_ms``
+    may be: :func:`~dalemast.platform.foreign.read_report` refuses a report without the others.
+    """
+
+    service: Text
+    address: Text | msgspec.UnsetType = msgspec.field(default=msgspec.UNSET, name="addr")
+    zone: Text
+    version: str | msgspec.UnsetType = msgspec.UNSET
+    slots: Amount | msgspec.UnsetType = msgspec.UNSET
+    state: WorkerState
+    cold_left_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
+    seq: Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQ)]
+    capacity: CapacityBody
+    labels: Annotated[tuple[Text, ...], msgspec.Meta(max_length=MAX_LABELS)]
+    clock_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
+    remaining_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
 
 
 class StartCall(Wire, frozen=True, kw_only=True):
--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from dalemast.emulator import EmulatedStore, EmulatedWorker
+from dalemast.emulator import EmulatedStore, ReportingWorker
 from dalemast.fleet.agent import FleetAgentProcess
 from dalemast.fleet.entry import FleetEntryProcess
 from dalemast.fleet.process import STANDSTILLS
@@ -123,7 +123,7 @@
         self._documents = documents or {}
         self.entries: list[FleetEntryProcess] = []
         self.agents: list[FleetAgentProcess] = []
-        self.workers: list[EmulatedWorker] = []
+        self.workers: list[ReportingWorker] = []
         self.client = JsonClient()
 
     async def __aenter__(self) -> LocalFleet:
@@ -295,13 +295,14 @@
         )
 
     async def _make_agent(
-        self, number: int, worker: EmulatedWorker, reports: str
+        self, number: int, worker: ReportingWorker, reports: str
     ) -> FleetAgentSettings:
+        worker.advertised = await self._front(worker.address)
         return FleetAgentSettings(
             name=f"agent-{number}",
             data_centre=self._get_data_centre(number),
             registration=ListenerSettings(address=reports),
-            worker=AddressSettings(address=await self._front(worker.address)),
+            worker=AddressSettings(address=worker.advertised),
             metrics=ListenerSettings(address="127.0.0.1:0"),
             store=AddressSettings(address=self._store_address),
             seeds=tuple(s.advertised for s in self.entry_settings[:1]),
@@ -314,7 +315,7 @@
 
     async def _add_worker(self, number: int) -> None:
         reports = find_address()
-        worker = EmulatedWorker(
+        worker = ReportingWorker(
             address="127.0.0.1:0",
             report_to=reports,
             service=SERVICE,
--- /dev/null
+++ b/tests/fleet/test_foreign.py
@@ -0,0 +1,72 @@
+"""What another writer sends or leaves in the store does not reach the work of a fleet."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from tests.base import AsyncTestCase, wait_until
+from tests.fleet.base import LocalFleet, make_text, settle
+
+JOB = "00000000000000f1"
+
+
+async def send(fleet: LocalFleet, name: str, life_id: str, data: bytes) -> int:
+    """Send something to the address where the first agent's worker reports."""
+    address = fleet.agents[0]._settings.registration.address
+    url = f"http://{address}/v1/Instances.{name}/{life_id}"
+    return (await fleet.client.request("POST", url, body=data)).status
+
+
+async def send_report(fleet: LocalFleet, life_id: str, **fields: Any) -> int:
+    """Send a report of the worker with some fields changed."""
+    report = msgspec.to_builtins(fleet.workers[0].make_report())
+    return await send(fleet, "Heartbeat", life_id, msgspec.json.encode({**report, **fields}))
+
+
+def get_worker(fleet: LocalFleet) -> dict[str, Any]:
+    """Return what the first entry knows of the only worker."""
+    (worker,) = fleet.entries[0].get_state()["workers"].values()  # type: ignore[attr-defined]
+    return {name: worker[name] for name in ("is_accepting", "data_centre", "free_cpu")}
+
+
+class ForeignReportTests(AsyncTestCase):
+    def test_a_worker_and_its_run_go_on_beside_foreign_reports(self) -> None:
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                before = get_worker(fleet)
+                life_id = fleet.workers[0].life_id
+                job = asyncio.create_task(fleet.submit(JOB, text=make_text(1.0)))
+                await wait_until(lambda: bool(fleet.get_running(JOB)), "the run to begin")
+                for name in (life_id, "i-other"):
+                    for fields in (
+                        {"state": "gone"},
+                        {"addr": "127.0.0.1:1"},
+                        {"zone": "waco", "state": "draining"},
+                        {"capacity": {}},
+                        {"seq": 10**12, "state": "draining", "capacity": {"cpu": 1, "mem_mb": 1}},
+                    ):
+                        if name == life_id or "seq" not in fields:
+                            self.assertEqual(400, await send_report(fleet, name, **fields), fields)
+                    self.assertEqual(400, await send(fleet, "Heartbeat", name, b"\xff\x00"))
+                    self.assertEqual(400, await send(fleet, "Deregister", name, b""))
+                await settle()
+                self.assertTrue(get_worker(fleet)["is_accepting"])
+                self.assertEqual(200, (await job).status)
+                self.assertEqual(1, len(fleet.get_started(JOB)))
+                await wait_until(lambda: get_worker(fleet) == before, "the worker as before")
+
+        self.run_async(run())
+
+    def test_the_worker_still_leaves_in_its_own_words(self) -> None:
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                life_id = fleet.workers[0].life_id
+                await send_report(fleet, life_id, seq=10**12)
+                fleet.workers[0].state = "draining"
+                await wait_until(lambda: not get_worker(fleet)["is_accepting"], "its leaving")
+                self.assertEqual(200, await send(fleet, "Deregister", life_id, b""))
+
+        self.run_async(run())
--- a/tests/fleet/test_lives.py
+++ b/tests/fleet/test_lives.py
@@ -4,26 +4,19 @@
 
 import asyncio
 
-from dalemast.platform.wire import CapacityBody, Heartbeat
+import msgspec
+
 from tests.base import AsyncTestCase, wait_until
-from tests.fleet.base import SERVICE, LocalFleet, make_text
+from tests.fleet.base import LocalFleet, make_text
 
 JOB = "00000000000000d1"
 
 
 async def deliver_report(fleet: LocalFleet, life_id: str) -> None:
     """Deliver a report of a life that is no more to the first agent."""
-    address = fleet.agents[0]._settings.registration.address
-    body = Heartbeat(
-        service=SERVICE,
-        zone="austin",
-        state="ready",
-        seq=3,
-        capacity=CapacityBody(cpu=4000, memory_mb=65536),
-        labels=(),
-        clock_ms=1,
-    )
-    url = f"http://{address}/v1/Instances.Heartbeat/{life_id}"
+    settings = fleet.agents[0]._settings
+    body = msgspec.structs.replace(fleet.workers[0].make_report(), seq=3)
+    url = f"http://{settings.registration.address}/v1/Instances.Heartbeat/{life_id}"
     answer = await fleet.client.request("POST", url, body=body)
     assert answer.status == 200
 
--- /dev/null
+++ b/tests/platform/test_lines.py
@@ -0,0 +1,105 @@
+"""Which of several writers under one id is believed to be the worker."""
+
+from __future__ import annotations
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dalemast.core.workloads import Resources
+from dalemast.platform.foreign import Fault, ForeignInput
+from dalemast.platform.lines import MAX_LINES, Account, ReportLine, ReportLines
+
+PAUSE_S = 1.5
+"""Pause between a worker's reports; from the platform."""
+FOREIGN = st.tuples(st.integers(1, 3), st.integers(0, 2**53))
+"""A foreign account and number."""
+
+
+def make_account(number: int = 0) -> Account:
+    capacity = Resources(cpu=1000 + number, memory_mb=1000)
+    return Account(service="floor", capacity=capacity, labels=frozenset({"a"}))
+
+
+def make_line(*, number: int = 1, account: int = 0) -> ReportLine:
+    return ReportLine(account=make_account(account), number=number, now=0.0)
+
+
+class ReportLineTests(testtools.TestCase):
+    def get_fault(self, line: ReportLine, number: int, *, account: int = 0, now: float) -> Fault:
+        error = self.assertRaises(ForeignInput, line.take, make_account(account), number, now=now)
+        return error.fault
+
+    def test_numbers_go_on_also_after_a_silence(self) -> None:
+        line = make_line()
+        self.assertTrue(line.take(make_account(), 2, now=1.5))
+        self.assertTrue(line.take(make_account(), 100, now=60.0))
+
+    def test_a_number_far_ahead_is_foreign(self) -> None:
+        line = make_line()
+        self.assertEqual(Fault.NUMBER_JUMPED, self.get_fault(line, 10**6, now=1.5))
+        self.assertTrue(line.take(make_account(), 2, now=1.5))
+
+    def test_another_account_is_foreign(self) -> None:
+        line = make_line()
+        self.assertEqual(Fault.OTHER_ACCOUNT, self.get_fault(line, 2, account=1, now=1.5))
+
+    def test_a_worker_whose_id_another_writer_used_first_is_believed_in_the_end(self) -> None:
+        line = make_line(number=10**9, account=1)
+        taken = []
+        for number in range(1, 5):
+            try:
+                taken.append(line.take(make_account(), number, now=number * PAUSE_S))
+            except ForeignInput:
+                taken.append(False)
+        self.assertEqual([False, False, True, True], taken)
+
+    def test_late_reports_that_arrive_together_are_no_other_line(self) -> None:
+        line = make_line(number=9)
+        late = [line.take(make_account(), number, now=0.1 * number) for number in (4, 5, 6, 7)]
+        self.assertEqual([False] * 4, late)
+
+    @given(st.lists(st.lists(FOREIGN, max_size=2), min_size=3, max_size=12))
+    def test_foreign_reports_change_nothing_for_the_worker(
+        self, between: list[list[tuple[int, int]]]
+    ) -> None:
+        """Up to two foreign reports between each two of the worker's, with any number."""
+        line = make_line()
+        for turn, foreign in enumerate(between):
+            now = (turn + 1) * PAUSE_S
+            for account, number in foreign:
+                fault = self.get_fault(line, number, account=account, now=now - 0.1)
+                self.assertEqual(Fault.OTHER_ACCOUNT, fault)
+            self.assertTrue(line.take(make_account(), turn + 2, now=now))
+
+    @given(st.lists(FOREIGN, min_size=1, max_size=6), st.lists(FOREIGN, max_size=6))
+    def test_the_worker_is_believed_once_it_reports_alone(
+        self, first: list[tuple[int, int]], later: list[tuple[int, int]]
+    ) -> None:
+        account, number = first[0]
+        line = make_line(number=number, account=account)
+        for turn, (account, number) in enumerate([*first[1:], *later]):
+            try:
+                line.take(make_account(account), number, now=turn * PAUSE_S)
+            except ForeignInput:
+                continue
+        taken = []
+        for number in range(1, 6):
+            try:
+                taken.append(line.take(make_account(), number, now=100.0 + number * PAUSE_S))
+            except ForeignInput:
+                taken.append(False)
+        self.assertEqual([True] * 3, taken[2:])
+
+
+class ReportLinesTests(testtools.TestCase):
+    def test_ids_without_end_are_not_all_remembered(self) -> None:
+        lines = ReportLines()
+        for number in range(1000):
+            lines.take("i-live", make_account(), number, is_leaving=False, now=float(number))
+            lines.take(f"i-{number}", make_account(1), 1, is_leaving=False, now=float(number))
+        self.assertEqual(MAX_LINES, len(lines))
+        self.assertFalse(
+            lines.take("i-live", make_account(), 999, is_leaving=False, now=1000.0),
+            "the worker's own line was forgotten",
+        )
--- a/tests/platform/test_registration.py
+++ b/tests/platform/test_registration.py
@@ -2,55 +2,31 @@
 
 from __future__ import annotations
 
+import msgspec
 import testtools
 
 from dalemast.core.supervision import WorkerLife
 from dalemast.platform import PlatformRegistration
-from dalemast.platform.wire import CapacityBody, Heartbeat
-from dalemast.settings import AddressSettings, FleetAgentSettings, ListenerSettings
-
-ADDRESS = "10.1.0.14:8165"
-LIFE = "i-7f3a91c2"
-
-
-class Observer:
-    """Notes what a registration tells, in order."""
-
-    def __init__(self) -> None:
-        self.lives: list[WorkerLife] = []
-        self.lost: list[str] = []
-
-    def meet_life(self, life: WorkerLife) -> None:
-        self.lives.append(life)
-
-    def lose_life(self, life_id: str) -> None:
-        self.lost.append(life_id)
-
-
-def make_settings() -> FleetAgentSettings:
-    return FleetAgentSettings(
-        name="side-austin-1",
-        data_centre="austin",
-        metrics=ListenerSettings(address="10.1.0.14:9100"),
-        store=AddressSettings(address="10.200.1.7:8169"),
-        registration=ListenerSettings(address="10.1.0.14:8166"),
-        worker=AddressSettings(address=ADDRESS),
-    )
+from tests.platform.reports import LIFE, Observer, make_report, make_settings
 
 
 class ReportTests(testtools.TestCase):
-    def take(self, **fields: object) -> list[WorkerLife]:
+    def take(self, report: dict[str, object]) -> list[WorkerLife]:
         observer = Observer()
         registration = PlatformRegistration(settings=make_settings(), observer=observer)
-        capacity = CapacityBody(cpu=4000, memory_mb=100)
-        beat = Heartbeat(service="floor", zone="austin", seq=1, capacity=capacity, **fields)
-        registration.take(LIFE, beat)
+        registration.take(LIFE, msgspec.json.encode(report))
         return observer.lives
 
     def test_the_clock_of_the_worker_is_told_in_seconds(self) -> None:
-        (life,) = self.take(clock_ms=482113.0)
+        (life,) = self.take(make_report(clock_ms=482113.0))
         self.assertEqual(482.113, life.clock_s)
 
     def test_a_report_need_not_tell_a_clock(self) -> None:
-        (life,) = self.take()
+        report = make_report()
+        del report["clock_ms"]
+        (life,) = self.take(report)
         self.assertIsNone(life.clock_s)
+
+    def test_the_time_that_is_left_is_told_in_seconds(self) -> None:
+        (life,) = self.take(make_report(state="draining", remaining_ms=2000))
+        self.assertEqual(2.0, life.remaining_s)
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -12,7 +12,7 @@
 
 import yaml
 
-from dalemast.emulator import EmulatedStore, EmulatedWorker
+from dalemast.emulator import EmulatedStore, ReportingWorker
 from dalemast.http.client import HttpFailure, JsonClient
 from tests.fleet.base import DATA_CENTRE, SERVICE, find_address, make_configuration
 from tests.soak.proxy import Proxy
@@ -73,7 +73,7 @@
         self._folder = folder
         self._counts = (entries, workers)
         self.store = EmulatedStore(address="127.0.0.1:0")
-        self.workers: list[EmulatedWorker] = []
+        self.workers: list[ReportingWorker] = []
         self.entries: list[Program] = []
         self.agents: list[Program] = []
         self.callers: list[str] = []
@@ -121,7 +121,7 @@
         """Let the operator withdraw that."""
         self.store.drop("op", f"evacuate/{SPARED}")
 
-    def get_spared(self) -> list[EmulatedWorker]:
+    def get_spared(self) -> list[ReportingWorker]:
         """Return the workers of the data centre that is evacuated now and then."""
         return self.workers[1::2]
 
@@ -162,12 +162,13 @@
     async def _add_worker(self, number: int, seeds: list[str], store: str) -> None:
         reports = find_address()
         data_centre = SPARED if number % 2 else DATA_CENTRE
-        worker = EmulatedWorker(
+        worker = ReportingWorker(
             address=find_address(), report_to=reports, service=SERVICE, zone=data_centre, cpu=8000
         )
         worker.start()
         self.workers.append(worker)
         proxy = await self._add_proxy(worker.address)
+        worker.advertised = proxy.address
         settings = {
             "name": f"agent-{number}",
             "data_centre": data_centre,
