--- a/dalemast/emulator/store.py
+++ b/dalemast/emulator/store.py
@@ -62,6 +62,11 @@
         self._send({"ver": self._store.version})
 
     def _send(self, body: Any) -> None:
+        garbled = self._store.garbled_answers
+        if garbled:
+            self._store.garbled_answers = garbled - 1
+            self.finish(b'{"rows":[{"key":"\xff')
+            return
         self.finish(msgspec.json.encode(body))
 
 
@@ -71,11 +76,15 @@
     def __init__(self, *, address: str) -> None:
         self._address = address
         self._rows: dict[tuple[str, str], RowBody] = {}
+        self._raw: dict[tuple[str, str], msgspec.Raw] = {}
+        """What is shown in place of rows that another writer has left."""
         self.version = 0
         self.forgotten_version = 0
         self.outage = ""
         """Empty, ``busy`` or ``silent``."""
         self.loses_answers = False
+        self.garbled_answers = 0
+        """How many of the next answers can't be read."""
         self.calls = 0
         self.page_rows = 500
         """Rows of a page at the most; from the platform."""
@@ -102,9 +111,19 @@
         value = base64.b64encode(msgspec.json.encode(document)).decode()
         self.write([{"table": table, "part": "", "key": key, "value": value}])
 
+    def put_raw(self, table: str, key: str, row: bytes) -> None:
+        """Show this JSON where the row of a key would stand, as another writer leaves it."""
+        self.write([{"table": table, "part": "", "key": key, "value": ""}])
+        self._raw[table, key] = msgspec.Raw(row)
+
+    def put_value(self, table: str, key: str, value: str) -> None:
+        """Write a row whose value is this text, base64 or not."""
+        self.write([{"table": table, "part": "", "key": key, "value": value}])
+
     def drop(self, table: str, key: str) -> None:
         """Remove a row as the operator would; feeds tell of it until the history is forgotten."""
         self.version += 1
+        self._raw.pop((table, key), None)
         self._rows[table, key] = RowBody(table=table, key=key, ver=self.version, is_removed=True)
 
     def forget_history(self) -> None:
@@ -119,6 +138,7 @@
         for row in rows:
             body = RowBody(**row, ver=self.version)
             self._rows[body.table, body.key] = body
+            self._raw.pop((body.table, body.key), None)
 
     def read_page(self, table: str, first_key: str) -> RowsAnswer:
         """Return the rows of a table from a key on, as many as a page holds."""
@@ -126,7 +146,8 @@
             row for row in self._get_rows(table) if row.key >= first_key and not row.is_removed
         )
         has_more = len(rows) > self.page_rows
-        return RowsAnswer(rows=rows[: self.page_rows], has_more=has_more, ver=self.version)
+        shown = self._show(rows[: self.page_rows])
+        return RowsAnswer(rows=shown, has_more=has_more, ver=self.version)
 
     def _get_rows(self, table: str) -> list[RowBody]:
         """Return the rows of a table by key, with those that were removed."""
@@ -140,5 +161,9 @@
                 raise HistoryForgotten
             rows = tuple(row for row in self._get_rows(table) if row.ver > since)
             if rows or asyncio.get_running_loop().time() >= answer_by:
-                return FeedAnswer(rows=rows, ver=self.version)
+                return FeedAnswer(rows=self._show(rows), ver=self.version)
             await asyncio.sleep(FEED_GRAIN_S)
+
+    def _show(self, rows: tuple[RowBody, ...]) -> tuple[Any, ...]:
+        """Return rows as they are answered, those of another writer as it left them."""
+        return tuple(self._raw.get((row.table, row.key), row) for row in rows)
--- a/tests/fleet/test_book.py
+++ b/tests/fleet/test_book.py
@@ -37,3 +37,17 @@
         book = AddressBook(own_address="10.0.0.1:80")
         self.assertEqual([], book.learn([make_member("a")]))
         self.assertEqual([], book.addresses)
+
+    def test_what_is_no_address_or_has_no_name_is_not_learned(self) -> None:
+        """A peer may have taken it from a row of the store that another writer has left."""
+        book = AddressBook()
+        bad = [
+            Member(name="", incarnation="a", address="10.0.0.1:80", data_centre="austin"),
+            Member(name="e1", incarnation="", address="10.0.0.1:80", data_centre="austin"),
+            Member(name="e1", incarnation="a", address="10.0.0.1:80", data_centre=""),
+            *(make_member("a", address) for address in ("", "10.0.0.1", "e1:80", "10.0.0.1:0")),
+            *(make_member("a", address) for address in ("10.0.0.1:65536", "10.0.0.300:80")),
+        ]
+        self.assertEqual([], book.learn(bad))
+        self.assertEqual([], book.addresses)
+        self.assertEqual(1, len(book.learn([*bad, make_member("a")])))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -21,6 +21,7 @@
 
     def __init__(self, address: str) -> None:
         self.store = AddressSettings(address=address)
+        self.data_centres: dict[str, str] = {}
 
 
 class Listener:
