Judge each row of the store by itself, and keep what a bad one stands in place of

Cause: an answer was decoded in whole, so that one row of a wrong type ended the read of its table; the error reached nobody who goes on, and the task that follows the table was over for the life of the process. Defaults stood in for fields that are missing: a configuration that is only a version removed all routes. Rows of evacuations were not read beyond their keys.

Change: platform/rows.py reads rows one by one with platform/foreign.py and counts and logs those that are not used. A whole answer that can't be read counts as no answer, and is asked for again. Reading goes on from the last key that can be read. A configuration needs version, routes, services and limits, a route its name, host, prefix and service, numbers their range; else the one in force holds. An evacuation needs the name of a data centre of the deployment, which entries get from the new setting data_centres, and a document; one whose good row is written over holds until the row is removed, also when the table is read anew. An entry needs a name, an incarnation, a data centre and an IP number and port; AddressBook asks the same of what peers tell. The reference shows defaults that are made anew.

Ruled out: dropping a whole answer with a bad row (it comes again with every read); taking each configuration as far as it can be read (it would remove routes); pinning evacuations by version (a withdrawal in a forgotten history would never be found).

Two tests had rows that no platform has and were changed: an entry at the address a:1, which is no IP number, and pages that end with rows without a key, which the store always gives; these now have a key and other fields that can't be read.

--- a/dalemast/fleet/book.py
+++ b/dalemast/fleet/book.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterable
 
 from dalemast.fleet.base import Member
 from dalemast.fleet.frames import MemberRow
+from dalemast.observability import Metrics, RefusalLog
 
-__all__ = ["AddressBook", "to_member", "to_row"]
+__all__ = ["AddressBook", "find_fault", "to_member", "to_row"]
+
+ADDRESS = re.compile(
+    r"(?:(?P<numbers>\d{1,3}(?:\.\d{1,3}){3})|\[[0-9a-fA-F:]+\]):(?P<port>\d{1,5})\Z"
+)
+FOREIGN_MEMBER = "member:foreign"
+"""Log line of an entry that is not learned, and with dots the beginning of its counters."""
+MAX_TEXT = 200
+"""Characters of a name. The platform's names of machines have some 20."""
 
 
 class AddressBook:
@@ -17,6 +27,7 @@
         self._own_address = own_address
         self._members: dict[str, Member | None] = {}
         self._listeners: list[Callable[[str], None]] = []
+        self.count_in(Metrics())
 
     @property
     def members(self) -> list[Member]:
@@ -28,6 +39,10 @@
         """All addresses."""
         return list(self._members)
 
+    def count_in(self, metrics: Metrics) -> None:
+        """Count here what is not learned."""
+        self._refusals = RefusalLog(event=FOREIGN_MEMBER, metrics=metrics)
+
     def on_address(self, listener: Callable[[str], None]) -> None:
         """Call a function with each address that was not known before."""
         self._listeners.append(listener)
@@ -45,6 +60,11 @@
         """
         news = []
         for member in members:
+            fault = find_fault(member)
+            if fault:
+                # A peer may have it from a row of the store that another writer has left.
+                self._refusals.note(writer=member.name, reason="field-invalid", detail=fault)
+                continue
             is_known = self._members.get(member.address) is not None
             if not is_known and member.address != self._own_address:
                 news.append(member)
@@ -62,6 +82,19 @@
                 listener(address)
 
 
+def find_fault(member: Member) -> str:
+    """Return why this can't be an entry, or an empty text."""
+    for name in ("name", "incarnation", "data_centre"):
+        if not 0 < len(getattr(member, name)) <= MAX_TEXT:
+            return f"{name} is empty or too long"
+    match = ADDRESS.match(member.address)
+    if match is None or not 0 < int(match["port"]) < 2**16:
+        return "address is not an IP number and a port"
+    if match["numbers"] and any(int(part) > 255 for part in match["numbers"].split(".")):
+        return "address is no IP number"
+    return ""
+
+
 def to_member(row: MemberRow) -> Member:
     """Turn a row of a frame into a member."""
     return Member(
--- a/dalemast/fleet/process.py
+++ b/dalemast/fleet/process.py
@@ -52,7 +52,10 @@
             stop_s=settings.stop_ms / 1000,
         )
         self._metrics = Metrics()
-        self._store: BaseMemberStore = load_backend(settings.backends.store, settings=settings)
+        self._book.count_in(self._metrics)
+        self._store: BaseMemberStore = load_backend(
+            settings.backends.store, settings=settings, metrics=self._metrics
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     async def close(self) -> None:
--- a/dalemast/management/commands/reference.py
+++ b/dalemast/management/commands/reference.py
@@ -94,6 +94,8 @@
 
 
 def _get_default(field: Any) -> str:
+    if field.default_factory is not msgspec.NODEFAULT:
+        return f"`{field.default_factory()!r}`"
     if field.default is msgspec.NODEFAULT:
         return "required"
     value = msgspec.to_builtins(field.default)
--- a/dalemast/platform/store.py
+++ b/dalemast/platform/store.py
@@ -6,34 +6,27 @@
 import base64
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
-from dalemast.core.evacuations import EvacuationChanges
-from dalemast.core.workloads import Queue
-from dalemast.fleet.base import BaseMemberStore, Configuration, DeclarationObserver, Member
+from dalemast.fleet.base import BaseMemberStore, DeclarationObserver, Member
 from dalemast.http.direct import DirectClient
 from dalemast.http.messages import HttpFailure, JsonResponse
-from dalemast.observability import log_error, log_event
-from dalemast.platform.wire import (
-    ConfigurationDocument,
-    FeedAnswer,
-    RouteBody,
-    RowBody,
-    RowsAnswer,
-    RowWrite,
-    TransactionCall,
+from dalemast.observability import Metrics, log_error, log_event
+from dalemast.platform.foreign import ForeignInput, read_json
+from dalemast.platform.rows import (
+    MEMBERS_TABLE,
+    OPERATORS_TABLE,
+    RowReader,
+    TableNews,
+    find_last_key,
 )
+from dalemast.platform.wire import FeedAnswer, RowsAnswer, RowWrite, TransactionCall
 
 __all__ = ["PlatformStore"]
 
-OPERATORS_TABLE = "op"
-CONFIGURATION_KEY = "config"
-EVACUATION_PREFIX = "evacuate/"
-"""A row whose key goes on with the name of a data centre asks for its evacuation."""
-MEMBERS_TABLE = "dalemast-entries"
 READ_TIMEOUT_S = 1.0
 """A healthy store answers in about 4 ms; a slow one may take 60 times as long."""
 DECLARATIONS_WAIT_S = 2.0
@@ -49,6 +42,9 @@
 GONE = 410
 
 
+Answer = TypeVar("Answer", RowsAnswer, FeedAnswer)
+
+
 class StoreUnavailable(Exception):
     """The store gave no good answer."""
 
@@ -57,21 +53,12 @@
     """The store has forgotten the versions that a feed would continue from."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class TableNews:
-    """Rows of a table as of a version: all of them, or those that changed since the last news."""
-
-    rows: tuple[RowBody, ...]
-    version: int
-    is_whole: bool
-
-
 class PlatformStore(BaseMemberStore):
     """Rows of the store, by feeds that begin with a full read."""
 
-    def __init__(self, *, settings: object) -> None:
-        address = settings.store.address  # type: ignore[attr-defined]
-        self._client = DirectClient(address=address, max_connections=MAX_CALLS)
+    def __init__(self, *, settings: Any, metrics: Metrics | None = None) -> None:
+        self._client = DirectClient(address=settings.store.address, max_connections=MAX_CALLS)
+        self._reader = RowReader(data_centres=settings.data_centres, metrics=metrics or Metrics())
         self._is_reachable = True
         self._was_unanswered = False
         """The last call got no answer: the next one takes a new connection, since each kept one
@@ -96,20 +83,18 @@
     async def list_members(self) -> list[Member]:
         """Return the entries that were announced; none when the store can't be read."""
         try:
-            answer = await self._read(MEMBERS_TABLE)
+            news = await self._read(MEMBERS_TABLE)
         except StoreUnavailable:
             return []
-        return [member for row in answer.rows for member in _read_member(row)]
+        return self._reader.read_members(news)
 
     async def watch_declarations(self, observer: DeclarationObserver) -> None:
         """Report what operators declare as it is accepted."""
 
         def take(news: TableNews) -> None:
-            observer.take_evacuations(_read_evacuations(news))
-            for row in news.rows:
-                if row.key == CONFIGURATION_KEY and not row.is_removed:
-                    for configuration in _read_configuration(row):
-                        observer.take_configuration(configuration)
+            observer.take_evacuations(self._reader.read_evacuations(news))
+            for configuration in self._reader.read_configurations(news):
+                observer.take_configuration(configuration)
 
         await self._watch(OPERATORS_TABLE, DECLARATIONS_WAIT_S, take)
 
@@ -117,10 +102,8 @@
         """Report each announced entry."""
 
         def take(news: TableNews) -> None:
-            for row in news.rows:
-                if not row.is_removed:
-                    for member in _read_member(row):
-                        callback(member)
+            for member in self._reader.read_members(news):
+                callback(member)
 
         await self._watch(MEMBERS_TABLE, MEMBERS_WAIT_S, take)
 
@@ -131,12 +114,9 @@
         while True:
             try:
                 if version is None:
-                    whole = await self._read(table)
-                    news = TableNews(rows=whole.rows, version=whole.ver, is_whole=True)
+                    news = await self._read(table)
                 else:
-                    feed = await self._follow(table, version, wait_s)
-                    newest = max(version, feed.ver)
-                    news = TableNews(rows=feed.rows, version=newest, is_whole=False)
+                    news = await self._follow(table, version, wait_s)
             except HistoryGone:
                 log_event("store:history-gone", table=table, since=version)
                 version = None
@@ -147,33 +127,47 @@
                 version = news.version
                 take(news)
 
-    async def _read(self, table: str) -> RowsAnswer:
+    async def _read(self, table: str) -> TableNews:
         """Read a table page by page, as of the first page's version.
 
         What changes while later pages are read comes again with the feed from that version.
         """
         first = page = await self._read_page(table, "")
-        rows = list(first.rows)
+        rows = list(self._reader.read_rows(table, first.rows))
+        last_key = find_last_key(first.rows)
         while page.has_more:
             # A page begins with the key that it is asked from: the last one of the page before.
-            page = await self._read_page(table, rows[-1].key)
-            rows += page.rows[1:]
-        return RowsAnswer(rows=tuple(rows), ver=first.ver)
+            page = await self._read_page(table, last_key)
+            found = self._reader.read_rows(table, page.rows)
+            rows += [row for row in found if row.key != last_key]
+            before, last_key = last_key, find_last_key(page.rows)
+            if last_key <= before:
+                log_error("store:unreadable-page", table=table, after=before)
+                break
+        return TableNews(rows=tuple(rows), version=first.ver, is_whole=True)
 
     async def _read_page(self, table: str, first_key: str) -> RowsAnswer:
         query = urlencode({"table": table, "part": "", "from": first_key})
         response = await self._request("GET", f"/v1/rows-get?{query}", READ_TIMEOUT_S)
-        answer = response.decode(RowsAnswer)
-        assert isinstance(answer, RowsAnswer)
-        return answer
+        return self._decode(table, response, RowsAnswer)
 
-    async def _follow(self, table: str, version: int, wait_s: float) -> FeedAnswer:
+    async def _follow(self, table: str, version: int, wait_s: float) -> TableNews:
+        """Return what has changed after a version; raises :class:`HistoryGone`."""
         query = urlencode({"table": table, "since_rev": version, "wait_ms": round(wait_s * 1000)})
         response = await self._request("GET", f"/v1/rows-feed?{query}", wait_s + WAIT_SLACK_S)
         if response.status == GONE:
             raise HistoryGone
-        answer = response.decode(FeedAnswer)
-        assert isinstance(answer, FeedAnswer)
+        feed = self._decode(table, response, FeedAnswer)
+        rows = self._reader.read_rows(table, feed.rows)
+        return TableNews(rows=rows, version=max(version, feed.ver), is_whole=False)
+
+    def _decode(self, table: str, response: JsonResponse, answer_type: type[Answer]) -> Answer:
+        """Decode an answer but for its rows; one that can't be read is as good as none."""
+        try:
+            answer: Answer = read_json(response.body, answer_type)
+        except ForeignInput as refusal:
+            self._reader.note_foreign(table, refusal)
+            raise StoreUnavailable(str(refusal)) from refusal
         return answer
 
     async def _request(
@@ -209,50 +203,3 @@
     """Sleep for about this long and return the next pause."""
     await asyncio.sleep(pause_s * (0.5 + random.random()))
     return min(pause_s * 2, RETRY_S[1])
-
-
-def _read_member(row: RowBody) -> list[Member]:
-    try:
-        return [msgspec.json.decode(base64.b64decode(row.value), type=Member)]
-    except (ValueError, msgspec.MsgspecError) as error:
-        log_error("store:bad-entry-row", key=row.key, reason=str(error))
-        return []
-
-
-def _read_evacuations(news: TableNews) -> EvacuationChanges:
-    rows = [row for row in news.rows if row.key.startswith(EVACUATION_PREFIX)]
-    return EvacuationChanges(
-        version=news.version,
-        begun=frozenset(_read_data_centre(row) for row in rows if not row.is_removed),
-        ended=frozenset(_read_data_centre(row) for row in rows if row.is_removed),
-        is_whole=news.is_whole,
-    )
-
-
-def _read_data_centre(row: RowBody) -> str:
-    return row.key.removeprefix(EVACUATION_PREFIX)
-
-
-def _read_configuration(row: RowBody) -> list[Configuration]:
-    try:
-        document = msgspec.json.decode(base64.b64decode(row.value), type=ConfigurationDocument)
-    except (ValueError, msgspec.MsgspecError) as error:
-        log_error("store:bad-configuration", version=row.ver, reason=str(error))
-        return []
-    queues = tuple(_make_queue(route) for route in document.routes)
-    return [Configuration(version=document.version, queues=queues)]
-
-
-def _make_queue(route: RouteBody) -> Queue:
-    return Queue(
-        name=route.name,
-        host=route.host,
-        prefix=route.prefix,
-        service=route.service,
-        priority=route.priority,
-        attempts=route.attempts,
-        stretch=route.stretch,
-        slack_s=route.slack_ms / 1000,
-        timeout_s=route.timeout_ms / 1000,
-        needs_advice=route.advice is not None,
-    )
--- a/dalemast/platform/wire.py
+++ b/dalemast/platform/wire.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "ConfigurationDocument",
+    "EvacuationDocument",
     "FeedAnswer",
     "Heartbeat",
     "HoldAnswer",
@@ -21,6 +22,7 @@
     "RejectionBody",
     "RouteBody",
     "RowBody",
+    "RowKey",
     "RowsAnswer",
     "StartCall",
     "StepBody",
@@ -41,8 +43,14 @@
 sums of it stay exact."""
 MAX_MS = 1e15
 """Longest time: 30,000 years in milliseconds, which a float still tells one by one."""
-MAX_SEQ = 2**53
-"""Highest number of a report, which every JSON library reads without loss."""
+MAX_VERSION = 2**53
+"""Highest version or number of a report, which every JSON library reads without loss."""
+
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT)]
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_AMOUNT)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
 
 
 class Wire(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -113,25 +121,34 @@
 class RouteBody(Wire, frozen=True, kw_only=True):
     """A queue as operators configure it."""
 
-    name: str
-    host: str
-    prefix: str = msgspec.field(default="/", name="path_prefix")
-    service: str
+    name: Text
+    host: Text
+    prefix: str = msgspec.field(name="path_prefix")
+    service: Text
     priority: int = 0
-    attempts: int = 1
-    stretch: float = 1.0
+    attempts: Positive = 1
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)] = 1.0
     # Not the whole objective: what is added to the stretched run time.
-    slack_ms: float = msgspec.field(default=0.0, name="slo_ms")
-    timeout_ms: float = 0.0
+    slack_ms: Milliseconds = msgspec.field(default=0.0, name="slo_ms")
+    timeout_ms: Milliseconds = 0.0
     # Set where only some workers may run a step and the advice service knows which.
     advice: Any = None
 
 
 class ConfigurationDocument(Wire, frozen=True, kw_only=True):
-    """The operators' configuration, in whole."""
+    """The operators' configuration, in whole.
+
+    ``services`` and ``limits`` are not used; a document without them is not the operators'.
+    """
+
+    version: Version
+    routes: tuple[RouteBody, ...]
+    services: tuple[Any, ...]
+    limits: dict[str, Any]
 
-    version: int
-    routes: tuple[RouteBody, ...] = ()
+
+class EvacuationDocument(Wire, frozen=True, kw_only=True):
+    """An operator's wish that nothing further be started in a data centre; the key names it."""
 
 
 class RowBody(Wire, frozen=True, kw_only=True):
@@ -139,25 +156,34 @@
 
     table: str = ""
     part: str = ""
-    key: str
+    key: Text
     value: str = ""
-    ver: int = 0
+    ver: Version = 0
     is_removed: bool = msgspec.field(default=False, name="removed")
 
 
+class RowKey(Wire, frozen=True, kw_only=True):
+    """The part of a row that tells from where to go on reading."""
+
+    key: Text
+
+
 class RowsAnswer(Wire, frozen=True, kw_only=True):
-    """Rows as of one moment; ``ver`` is the store's newest version then."""
+    """Rows as of one moment; ``ver`` is the store's newest version then.
 
-    rows: tuple[RowBody, ...] = ()
+    Each row is decoded by itself, since any of them may be another writer's.
+    """
+
+    rows: tuple[msgspec.Raw, ...] = ()
     has_more: bool = msgspec.field(default=False, name="more_pages")
-    ver: int
+    ver: Version
 
 
 class FeedAnswer(Wire, frozen=True, kw_only=True):
     """Rows that changed; the next call continues from ``ver``."""
 
-    rows: tuple[RowBody, ...] = ()
-    ver: int
+    rows: tuple[msgspec.Raw, ...] = ()
+    ver: Version
 
 
 class RowWrite(msgspec.Struct, frozen=True, kw_only=True):
@@ -182,12 +208,6 @@
     LEAVING = "draining"
 
 
-Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT)]
-Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
-Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_AMOUNT)]
-Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
-
-
 class CapacityBody(Wire, frozen=True, kw_only=True):
     """What a worker has."""
 
@@ -210,7 +230,7 @@
     slots: Amount | msgspec.UnsetType = msgspec.UNSET
     state: WorkerState
     cold_left_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
-    seq: Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQ)]
+    seq: Version
     capacity: CapacityBody
     labels: Annotated[tuple[Text, ...], msgspec.Meta(max_length=MAX_LABELS)]
     clock_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
--- a/dalemast/settings/fleet.py
+++ b/dalemast/settings/fleet.py
@@ -34,7 +34,8 @@
     ``seeds`` are link addresses of some entries; any of them may be gone. ``resend_ms`` is the
     soonest that a caller that lost its connection submits its job again, ``lease_max_ms`` the
     longest lease of a worker, and ``stop_ms`` the longest time that a stop takes; all three are the
-    platform's. ``grace_s`` is the time between SIGTERM and SIGKILL.
+    platform's. ``grace_s`` is the time between SIGTERM and SIGKILL. ``data_centres`` are those of
+    the deployment with their regions; what names another is passed over, unless none is given.
     """
 
     name: str
@@ -48,6 +49,7 @@
     lease_max_ms: float = 1000.0
     stop_ms: float = 50.0
     grace_s: float = 6.0
+    data_centres: dict[str, str] = {}
 
 
 class FleetEntrySettings(FleetSettings, frozen=True, kw_only=True):
--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -59,7 +59,8 @@
         "stretch": 1.6,
         "slo_ms": 500,
     }
-    return {"version": version, "routes": [{**row, **route}]}
+    routes = [{**row, **route}]
+    return {"version": version, "routes": routes, "services": [{"name": SERVICE}], "limits": {}}
 
 
 def make_body(*, text: str = "", count: int = 1, **step: Any) -> dict[str, Any]:
--- a/tests/fleet/test_foreign.py
+++ b/tests/fleet/test_foreign.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from tests.base import AsyncTestCase, wait_until
-from tests.fleet.base import LocalFleet, make_text, settle
+from tests.fleet.base import LocalFleet, make_configuration, make_text, settle
 
 JOB = "00000000000000f1"
 
@@ -70,3 +70,35 @@
                 self.assertEqual(200, await send(fleet, "Deregister", life_id, b""))
 
         self.run_async(run())
+
+
+class ForeignRowTests(AsyncTestCase):
+    def test_a_fleet_goes_on_beside_foreign_rows(self) -> None:
+        async def run() -> None:
+            async with LocalFleet(entries=2, workers=1) as fleet:
+                store, entry = fleet.store, fleet.entries[0]
+                addresses = set(entry._book.addresses)
+                for table in ("op", "dalemast-entries"):
+                    store.put_raw(table, "a", b'{"key":"\xff","value":7}')
+                    store.put_value(table, "b", "%%")
+                store.put("dalemast-entries", "c", {"name": "c", "address": ""})
+                store.put_value("op", "config", "/w==")
+                store.put_value("op", "evacuate/austin", "%%")
+                store.put("op", "evacuate/", {})
+                await settle()
+                self.assertEqual(200, (await fleet.submit(JOB)).status)
+                store.put("op", "config", make_configuration(9))
+                store.put("op", "evacuate/waco", {})
+                await wait_until(
+                    lambda: all(
+                        (state["configuration"], state["evacuated"]) == (9, ["waco"])
+                        for state in (entry.get_state() for entry in fleet.entries)
+                    ),
+                    "what operators have declared",
+                )
+                self.assertEqual(addresses, set(entry._book.addresses))
+                counted = entry._metrics.dump().counters
+                self.assertGreater(counted["row.foreign.unreadable"], 0)
+                self.assertGreater(counted["row.foreign.field-missing"], 0)
+
+        self.run_async(run())
--- a/tests/platform/test_foreign_rows.py
+++ b/tests/platform/test_foreign_rows.py
@@ -151,8 +151,9 @@
     def test_a_page_that_ends_with_bad_rows_is_followed_by_the_next(self) -> None:
         async def scenario(scene: Scene) -> None:
             scene.store.page_rows = 3
-            for number in range(3):
-                scene.store.put_raw("op", f"b{number}", BAD_ROWS[0])
+            for number in range(7):
+                row = {"key": f"b{number}", "value": number, "ver": "new"}
+                scene.store.put_raw("op", f"b{number}", msgspec.json.encode(row))
             scene.follow()
             await scene.know(7)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -51,7 +51,12 @@
             client = PlatformStore(settings=StoreSettings(store.address))
             for number in range(MEMBERS):
                 await client.announce(
-                    Member(name=f"e{number}", incarnation="i", address="a:1", data_centre="austin")
+                    Member(
+                        name=f"e{number}",
+                        incarnation="i",
+                        address="10.0.0.1:80",
+                        data_centre="austin",
+                    )
                 )
             members = await client.list_members()
             self.assertEqual([f"e{n}" for n in range(MEMBERS)], [m.name for m in members])
