Name in the log what differs from the account of a known life

Cause: both accounts were written out, and the line was cut off before the second.

Change: the detail names just the parts that differ. tests/platform/test_lines.py, 9 passed, the new one failed before.

--- a/dalemast/platform/lines.py
+++ b/dalemast/platform/lines.py
@@ -38,6 +38,16 @@
     capacity: Resources
     labels: frozenset[str]
 
+    def describe_change(self, known: Account) -> str:
+        """Return which parts differ from a known account, with what they are here and there."""
+        pairs = {
+            "service": (self.service, known.service),
+            "capacity": (self.capacity, known.capacity),
+            "labels": (sorted(self.labels), sorted(known.labels)),
+        }
+        changes = [f"{name} {new} for {old}" for name, (new, old) in pairs.items() if new != old]
+        return ", ".join(changes)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Rival:
@@ -71,7 +81,7 @@
             self._believe(account, number, now)
             return True
         if not is_same:
-            raise ForeignInput(Fault.OTHER_ACCOUNT, f"{account} instead of {self._account}")
+            raise ForeignInput(Fault.OTHER_ACCOUNT, account.describe_change(self._account))
         if number > limit:
             raise ForeignInput(Fault.NUMBER_JUMPED, f"from {self._number} to {number}")
         return False
--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -44,6 +44,12 @@
         line = make_line()
         self.assertEqual(Fault.OTHER_ACCOUNT, self.get_fault(line, 2, account=1, now=1.5))
 
+    def test_the_reason_names_what_differs(self) -> None:
+        line = make_line()
+        error = self.assertRaises(ForeignInput, line.take, make_account(1), 2, now=1.5)
+        self.assertIn("capacity", error.detail)
+        self.assertNotIn("service", error.detail)
+
     def test_a_worker_whose_id_another_writer_used_first_is_believed_in_the_end(self) -> None:
         line = make_line(number=10**9, account=1)
         taken = []
