Let a foreign writer take part in the soak

Change: beside the faults of a run, a writer with draws of its own sends each agent reports that no worker can have sent, contradicting ones under the id of its worker, and words that a life ends; and it leaves rows in both tables. None of the first may be acknowledged, and after the faults each agent has to know its own worker; the other checks are as before. It does not write over the operators' rows: the store forgets what was there, so that an entry that starts then can't know it. Entries get the names of the data centres, as deployed.

--- a/dalemast/emulator/reporting.py
+++ b/dalemast/emulator/reporting.py
@@ -24,6 +24,11 @@
         super().__init__(**arguments)
         self.advertised = ""
 
+    @property
+    def report_to(self) -> str:
+        """The address where it reports."""
+        return self._report_to
+
     def make_report(self) -> Heartbeat:
         """Return the next report."""
         self._beats += 1
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -18,6 +18,7 @@
 from tests.soak.proxy import Proxy
 
 ROOT = Path(__file__).parents[2]
+REGION = "texas"
 SPARED = "waco"
 """Data centre of every other worker, which operators evacuate now and then."""
 
@@ -147,6 +148,7 @@
         settings = {
             "name": f"entry-{number}",
             "data_centre": DATA_CENTRE,
+            "data_centres": {DATA_CENTRE: REGION, SPARED: REGION},
             "callers": {"address": callers},
             "readiness": {"address": find_address()},
             "links": {"address": links},
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,7 @@
 from tests.fleet.base import HOST, PREFIX, STEP, make_text
 from tests.soak.cluster import SPARED, Cluster, Program
 from tests.soak.proxy import Proxy
+from tests.soak.writer import ForeignWriter
 
 RESEND_S = 1.3
 """How long a caller waits before it sends a job again that was broken off."""
@@ -69,7 +70,9 @@
             callers = [asyncio.create_task(self._call_forever(n)) for n in range(CALLERS)]
             watch = asyncio.create_task(self._watch_versions())
             evacuations = asyncio.create_task(self._evacuate_now_and_then())
-            await self._strike_for(seconds)
+            seed, broken = self._report.seed, self._report.broken
+            async with ForeignWriter(cluster=cluster, seed=seed, broken=broken):
+                await self._strike_for(seconds)
             evacuations.cancel()
             cluster.take_back()
             await self._wait_for_calm("after the faults")
--- /dev/null
+++ b/tests/soak/writer.py
@@ -0,0 +1,174 @@
+"""A writer that is no part of the system: it reports as a worker and leaves rows in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+
+from dalemast.emulator import ReportingWorker
+from dalemast.http.client import HttpFailure
+from tests.fleet.base import make_configuration
+from tests.soak.cluster import Cluster
+
+PAUSE_S = (0.02, 0.4)
+"""Shortest and longest pause between two foreign inputs."""
+KNOWN_S = 25.0
+"""Longest time after the last foreign report until each agent knows its own worker."""
+ROWS = 6
+"""Rows that it leaves in each table; it writes over its own ones."""
+TABLES = ("op", "dalemast-entries")
+WRONG_VALUES: tuple[Any, ...] = (None, True, [], {}, -1, 10**30)
+RAW_BODIES = (b"", b"\xff\xfe", b"[]", b"{", b'{"service":"\xff"}')
+
+
+class ForeignWriter:
+    """Writes for as long as its block lasts; then checks that agents know their own workers.
+
+    ``broken`` takes a line for each foreign report that was taken though it can't be a worker's.
+    """
+
+    def __init__(self, *, cluster: Cluster, seed: int, broken: list[str]) -> None:
+        self._cluster = cluster
+        self._rng = random.Random(f"foreign writer of {seed}")
+        """Draws of its own, so that a seed that once failed still strikes with the same faults."""
+        self._broken = broken
+        self.written = 0
+
+    async def __aenter__(self) -> ForeignWriter:
+        self._task = asyncio.create_task(self._write_forever())
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        await self._check_workers()
+
+    async def _write_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+            await self._rng.choice(self._get_inputs())()
+            self.written += 1
+
+    def _get_inputs(self) -> list[Callable[[], Awaitable[None]]]:
+        return [
+            self._send_unusable,
+            self._send_unusable,
+            self._send_contradicting,
+            self._send_end,
+            self._leave_raw_row,
+            self._leave_bad_value,
+        ]
+
+    async def _send_unusable(self) -> None:
+        """Send a report that is no worker's, whatever is known."""
+        worker = self._pick_worker()
+        data = self._rng.choice([self._drop, self._retype, self._move, self._garble])(worker)
+        status = await self._send(worker, "Heartbeat", self._pick_id(worker), data)
+        if status == 200:
+            self._broken.append(f"a foreign report was taken: {data!r}")
+
+    async def _send_contradicting(self) -> None:
+        """Send another account of a live worker. An agent that has just begun may believe it."""
+        worker = self._pick_worker()
+        fields: dict[str, Any] = self._rng.choice(
+            [{"seq": 10**9}, {"capacity": {"cpu": 10, "mem_mb": 10}}, {"labels": ["b"]}]
+        )
+        data = _change(worker, state="draining", **fields)
+        await self._send(worker, "Heartbeat", worker.life_id, data)
+
+    async def _send_end(self) -> None:
+        """Say that a life ends; no worker here says before that it leaves."""
+        worker = self._pick_worker()
+        await self._send(worker, "Deregister", self._pick_id(worker), b"")
+
+    async def _leave_raw_row(self) -> None:
+        """Leave a row whose fields are of other types, or that belongs to another part."""
+        table, key = self._pick_place()
+        row = {"key": key, "value": "e30=", "ver": 1}
+        name = self._rng.choice(["key", "value", "ver", "part"])
+        value = self._rng.choice([7, None, [], {}]) if name != "part" else "mine"
+        self._cluster.store.put_raw(table, key, msgspec.json.encode({**row, name: value}))
+
+    async def _leave_bad_value(self) -> None:
+        """Leave a row whose value can't be read, or is no document of its table."""
+        table, key = self._pick_place()
+        store = self._cluster.store
+        if self._rng.random() < 0.5:
+            store.put_value(table, key, self._rng.choice(["", "%%", "/w==", "bnVsbA=="]))
+            return
+        store.put(table, key, self._rng.choice([{}, {"name": "e"}, make_configuration(10**6)]))
+
+    def _drop(self, worker: ReportingWorker) -> bytes:
+        report = _read(worker)
+        # A worker need not tell its clock.
+        del report[self._rng.choice([name for name in report if name != "clock_ms"])]
+        return msgspec.json.encode(report)
+
+    def _retype(self, worker: ReportingWorker) -> bytes:
+        names = [name for name in _read(worker) if name != "labels"]
+        return _change(worker, **{self._rng.choice(names): self._rng.choice(WRONG_VALUES)})
+
+    def _move(self, worker: ReportingWorker) -> bytes:
+        fields = [{"addr": "127.0.0.1:1"}, {"zone": "nowhere"}, {"state": "gone"}]
+        return _change(worker, **self._rng.choice(fields))
+
+    def _garble(self, _: ReportingWorker) -> bytes:
+        return self._rng.choice(RAW_BODIES)
+
+    def _pick_worker(self) -> ReportingWorker:
+        return self._rng.choice(self._cluster.workers)
+
+    def _pick_id(self, worker: ReportingWorker) -> str:
+        return self._rng.choice([worker.life_id, f"i-foreign-{self._rng.randrange(10**6)}"])
+
+    def _pick_place(self) -> tuple[str, str]:
+        number = self._rng.randrange(ROWS)
+        key = self._rng.choice([f"a{number}", f"z{number}", "evacuate/", f"evacuate/{number}/x"])
+        table = self._rng.choice(TABLES)
+        return (table, key) if table == "op" else (table, f"foreign-{number}")
+
+    async def _send(self, worker: ReportingWorker, name: str, life_id: str, data: bytes) -> int:
+        """Send something to a worker's agent; return the status, or 0 without an answer."""
+        url = f"http://{worker.report_to}/v1/Instances.{name}/{life_id}"
+        try:
+            return (
+                await self._cluster.client.request("POST", url, body=data, timeout_s=1.0)
+            ).status
+        except HttpFailure:
+            # The agent may be down or standing still.
+            return 0
+
+    async def _check_workers(self) -> None:
+        """Wait until every agent knows the life of its own worker."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + KNOWN_S
+        wrong = await self._find_wrong()
+        while wrong and loop.time() < give_up_at:
+            await asyncio.sleep(0.1)
+            wrong = await self._find_wrong()
+        if wrong:
+            self._broken.append(f"other lives are known than the workers': {wrong}")
+
+    async def _find_wrong(self) -> list[tuple[str, object]]:
+        """Return the agents that know another life, with what they know."""
+        wrong = []
+        for agent, worker in zip(self._cluster.agents, self._cluster.workers, strict=True):
+            state = await self._cluster.get_state(agent)
+            known = None if state is None else state["worker"]
+            if known != worker.life_id:
+                wrong.append((agent.name, known))
+        return wrong
+
+
+def _read(worker: ReportingWorker) -> dict[str, Any]:
+    """Return a report of the worker as a document."""
+    return dict(msgspec.json.decode(msgspec.json.encode(worker.make_report())))
+
+
+def _change(worker: ReportingWorker, **fields: Any) -> bytes:
+    """Return the bytes of a worker's report with some fields changed."""
+    return msgspec.json.encode({**_read(worker), **fields})
