--- a/tests/platform/test_foreign_reports.py
+++ b/tests/platform/test_foreign_reports.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
 
 from dalemast.core.workloads import Resources
-from dalemast.http.client import JsonClient
+from dalemast.http.client import HttpFailure, JsonClient
 from dalemast.platform import PlatformRegistration
 from tests.base import AsyncTestCase
 from tests.fleet.base import find_address
@@ -134,6 +135,18 @@
 
         self.play(scenario)
 
+    def test_a_report_larger_than_any_workers_is_not_read(self) -> None:
+        """An agent has 168 MB, and would hold a body of up to 100 MB in memory."""
+
+        async def scenario(station: Station) -> None:
+            with contextlib.suppress(HttpFailure):
+                status = await station.report(make_report(note="x" * 1_000_000))
+                self.assertEqual(400, status)
+            self.assertEqual([], station.observer.lives)
+            self.assertEqual(200, await station.report(make_report()))
+
+        self.play(scenario)
+
     def test_numbers_that_no_worker_has_are_passed_over(self) -> None:
         async def scenario(station: Station) -> None:
             capacity = {"cpu": 16000, "mem_mb": 32768, "gpu": 0}
