Read reports of 64 KiB at the most

Cause: the server held a body of up to 100 MB in memory, more than half of a small agent's.

Change: a longer report is refused before it is read; its connection is closed.

--- a/dalemast/platform/registration.py
+++ b/dalemast/platform/registration.py
@@ -23,6 +23,8 @@
 
 BACKLOG = 64
 """Connections that may wait to be accepted: one worker reports here."""
+MAX_REPORT_BYTES = 64 * 1024
+"""Longest report that is read; a worker's has some 250 bytes. The smallest agents have 168 MB."""
 FOREIGN_REPORT = "report:foreign"
 """Log line of a report that is not the worker's, and with dots the beginning of its counters."""
 
@@ -86,7 +88,9 @@
                     (r"/v1/Instances\.Deregister/([^/]+)", DeregisterHandler, arguments),
                 ],
                 log_function=log_nothing,
-            )
+            ),
+            max_body_size=MAX_REPORT_BYTES,
+            max_buffer_size=2 * MAX_REPORT_BYTES,
         )
         self._lines = ReportLines()
         self._refusals = RefusalLog(event=FOREIGN_REPORT, metrics=self._metrics)
