Nest a report as deep as its longest allows

It is 10,000 objects in one another now, 50 KB, which reach the decoder's bound on recursion; the brackets never did, since the first one is of a wrong type.

--- a/tests/platform/test_foreign_reports.py
+++ b/tests/platform/test_foreign_reports.py
@@ -128,7 +128,7 @@
 
     def test_bytes_that_are_no_report_are_passed_over(self) -> None:
         async def scenario(station: Station) -> None:
-            deep = b"[" * 100_000
+            deep = b'{"x":' * 10_000
             for body in (b"", b"\xff\xfe\x00", b'{"zone":"\xff"}', b"[]", b"null", b"{", deep):
                 self.check_refused(station, await station.report(body), body[:20])
             self.assertEqual(200, await station.report(make_report()))
