--- a/dalemast/emulator/worker.py
+++ b/dalemast/emulator/worker.py
@@ -24,6 +24,7 @@
     ClockAnswer,
     Heartbeat,
     HoldAnswer,
+    WorkerState,
 )
 from dalemast.platform.worker import LOOK_PATH, START_PATH, STOP_PATH
 
@@ -33,6 +34,11 @@
 _numbers = itertools.count(1)
 """Numbers of the workers of this process: no two lives may share an id."""
 DEFAULT_RUN_S = 0.1
+VERSION = "v1"
+SLOTS = 8
+MEMORY_MB = 65536
+REPORT_TIMEOUT_S = 1.0
+"""Within this time a report has to be acknowledged; from the platform."""
 LOOK_GRAIN_S = 0.005
 LATE_ORDER_S = (0.5, 2.0)
 """How much later than sent an order without an answer is carried out."""
@@ -120,6 +126,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: HTTPServer | None = None
         self.state = "ready"
+        self.advertised = ""
+        """Where its agent calls it if not at its own address, as through a proxy."""
         self.started: list[tuple[str, int]] = []
         """Every run that was started, in order: task and run."""
         self.on_start: Callable[[str], None] = lambda task: None
@@ -178,6 +186,28 @@
         """Where it takes calls."""
         return self._address
 
+    @property
+    def report_to(self) -> str:
+        """The address where it reports."""
+        return self._report_to
+
+    def make_report(self) -> Heartbeat:
+        """Return the next report."""
+        self._beats += 1
+        return Heartbeat(
+            service=self._service,
+            address=self.advertised or self.address,
+            zone=self._zone,
+            version=VERSION,
+            slots=SLOTS,
+            state=WorkerState(self.state),
+            cold_left_ms=0.0,
+            seq=self._beats,
+            capacity=CapacityBody(cpu=self._cpu, memory_mb=MEMORY_MB),
+            labels=("a", "r1"),
+            clock_ms=round(self._now() * 1000),
+        )
+
     def _now(self) -> float:
         """Return the worker's own clock, which counts from elsewhere than the agent's."""
         return time.monotonic() + 1000.0
@@ -188,19 +218,10 @@
             await asyncio.sleep(0.3)
 
     async def _beat(self) -> None:
-        self._beats += 1
-        body = Heartbeat(
-            service=self._service,
-            zone=self._zone,
-            state=self.state,
-            seq=self._beats,
-            capacity=CapacityBody(cpu=self._cpu, memory_mb=65536),
-            labels=("a", "r1"),
-            clock_ms=round(self._now() * 1000),
-        )
         url = f"http://{self._report_to}/v1/Instances.Heartbeat/{self._life_id}"
+        body = self.make_report()
         try:
-            await self._client.request("POST", url, body=body, timeout_s=1.0)
+            await self._client.request("POST", url, body=body, timeout_s=REPORT_TIMEOUT_S)
         except HttpFailure:
             # The agent may be down or restarting; the next report tells it all anew.
             return
--- a/dalemast/platform/wire.py
+++ b/dalemast/platform/wire.py
@@ -5,12 +5,14 @@
 
 from __future__ import annotations
 
+import enum
 from typing import Annotated, Any
 
 import msgspec
 
 __all__ = [
     "ConfigurationDocument",
+    "EvacuationDocument",
     "FeedAnswer",
     "Heartbeat",
     "HoldAnswer",
@@ -20,16 +22,35 @@
     "RejectionBody",
     "RouteBody",
     "RowBody",
+    "RowKey",
     "RowsAnswer",
     "StartCall",
     "StepBody",
     "StopCall",
     "TransactionCall",
     "WaitingBody",
+    "WorkerState",
 ]
 
 EXPECTED_LIFE_HEADER = "Dalemast-Expect-Instance"
 DEADLINE_HEADER = "Dalemast-Deadline-Ms"
+MAX_TEXT = 200
+"""Characters of a name, address or label; keys of the store have as many bytes at most."""
+MAX_LABELS = 64
+"""Labels of a worker. The platform gives two: its kind and its rack."""
+MAX_AMOUNT = 10**9
+"""Largest amount of a resource: a million cores, a thousand terabytes. No worker has as much, and
+sums of it stay exact."""
+MAX_MS = 1e15
+"""Longest time: 30,000 years in milliseconds, which a float still tells one by one."""
+MAX_VERSION = 2**53
+"""Highest version or number of a report, which every JSON library reads without loss."""
+
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT)]
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_AMOUNT)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
 
 
 class Wire(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -100,25 +121,34 @@
 class RouteBody(Wire, frozen=True, kw_only=True):
     """A queue as operators configure it."""
 
-    name: str
-    host: str
-    prefix: str = msgspec.field(default="/", name="path_prefix")
-    service: str
+    name: Text
+    host: Text
+    prefix: str = msgspec.field(name="path_prefix")
+    service: Text
     priority: int = 0
-    attempts: int = 1
-    stretch: float = 1.0
+    attempts: Positive = 1
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)] = 1.0
     # Not the whole objective: what is added to the stretched run time.
-    slack_ms: float = msgspec.field(default=0.0, name="slo_ms")
-    timeout_ms: float = 0.0
+    slack_ms: Milliseconds = msgspec.field(default=0.0, name="slo_ms")
+    timeout_ms: Milliseconds = 0.0
     # Set where only some workers may run a step and the advice service knows which.
     advice: Any = None
 
 
 class ConfigurationDocument(Wire, frozen=True, kw_only=True):
-    """The operators' configuration, in whole."""
+    """The operators' configuration, in whole.
 
-    version: int
-    routes: tuple[RouteBody, ...] = ()
+    ``services`` and ``limits`` are not used; a document without them is not the operators'.
+    """
+
+    version: Version
+    routes: tuple[RouteBody, ...]
+    services: tuple[Any, ...]
+    limits: dict[str, Any]
+
+
+class EvacuationDocument(Wire, frozen=True, kw_only=True):
+    """An operator's wish that nothing further be started in a data centre; the key names it."""
 
 
 class RowBody(Wire, frozen=True, kw_only=True):
@@ -126,25 +156,34 @@
 
     table: str = ""
     part: str = ""
-    key: str
+    key: Text
     value: str = ""
-    ver: int = 0
+    ver: Version = 0
     is_removed: bool = msgspec.field(default=False, name="removed")
 
 
+class RowKey(Wire, frozen=True, kw_only=True):
+    """The part of a row that tells from where to go on reading."""
+
+    key: Text
+
+
 class RowsAnswer(Wire, frozen=True, kw_only=True):
-    """Rows as of one moment; ``ver`` is the store's newest version then."""
+    """Rows as of one moment; ``ver`` is the store's newest version then.
+
+    Each row is decoded by itself, since any of them may be another writer's.
+    """
 
-    rows: tuple[RowBody, ...] = ()
+    rows: tuple[msgspec.Raw, ...] = ()
     has_more: bool = msgspec.field(default=False, name="more_pages")
-    ver: int
+    ver: Version
 
 
 class FeedAnswer(Wire, frozen=True, kw_only=True):
     """Rows that changed; the next call continues from ``ver``."""
 
-    rows: tuple[RowBody, ...] = ()
-    ver: int
+    rows: tuple[msgspec.Raw, ...] = ()
+    ver: Version
 
 
 class RowWrite(msgspec.Struct, frozen=True, kw_only=True):
@@ -162,25 +201,40 @@
     writes: tuple[RowWrite, ...] = msgspec.field(default=(), name="set_keys")
 
 
+class WorkerState(enum.Enum):
+    """What a worker says of itself."""
+
+    READY = "ready"
+    LEAVING = "draining"
+
+
 class CapacityBody(Wire, frozen=True, kw_only=True):
     """What a worker has."""
 
-    cpu: int = 0
-    memory_mb: int = msgspec.field(default=0, name="mem_mb")
-    gpu: int = 0
+    cpu: Positive
+    memory_mb: Positive = msgspec.field(name="mem_mb")
+    gpu: Amount = 0
 
 
 class Heartbeat(Wire, frozen=True, kw_only=True):
-    """A worker's account of itself."""
-
-    service: str
-    zone: str = ""
-    state: str = "ready"
-    seq: int = 0
-    capacity: CapacityBody = CapacityBody()
-    labels: tuple[str, ...] = ()
-    clock_ms: float | None = None
-    remaining_ms: float | None = None
+    """A worker's account of itself.
+
+    A field is UNSET where the sender left it out. Of these only ``clock_ms`` and ``remaining_ms``
+    may be: :func:`~dalemast.platform.foreign.read_report` refuses a report without the others.
+    """
+
+    service: Text
+    address: Text | msgspec.UnsetType = msgspec.field(default=msgspec.UNSET, name="addr")
+    zone: Text
+    version: str | msgspec.UnsetType = msgspec.UNSET
+    slots: Amount | msgspec.UnsetType = msgspec.UNSET
+    state: WorkerState
+    cold_left_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
+    seq: Version
+    capacity: CapacityBody
+    labels: Annotated[tuple[Text, ...], msgspec.Meta(max_length=MAX_LABELS)]
+    clock_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
+    remaining_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
 
 
 class StartCall(Wire, frozen=True, kw_only=True):
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -18,6 +18,7 @@
 from tests.soak.proxy import Proxy
 
 ROOT = Path(__file__).parents[2]
+REGION = "texas"
 SPARED = "waco"
 """Data centre of every other worker, which operators evacuate now and then."""
 
@@ -150,6 +151,7 @@
         settings = {
             "name": f"entry-{number}",
             "data_centre": DATA_CENTRE,
+            "data_centres": {DATA_CENTRE: REGION, SPARED: REGION},
             "callers": {"address": callers},
             "readiness": {"address": find_address()},
             "links": {"address": links},
@@ -171,6 +173,7 @@
         worker.start()
         self.workers.append(worker)
         proxy = await self._add_proxy(worker.address)
+        worker.advertised = proxy.address
         settings = {
             "name": f"agent-{number}",
             "data_centre": data_centre,
