Bound what reports of another writer leave behind, and require what every worker tells

Cause: the counters of foreign reports were not served; a line was written for each report of another life; lives that are over were remembered without end; fields that every worker tells were optional, since the stand-in lacked them. The worker's clock came from reports that another writer may send.

--- a/dalemast/core/supervision/base.py
+++ b/dalemast/core/supervision/base.py
@@ -24,8 +24,7 @@
 class WorkerLife:
     """A worker's account of itself. ``id`` is new with each of its lives.
 
-    ``remaining_s`` is the least time it has left while it leaves, if it says so. ``clock_s`` is the
-    worker's steady clock as it reported, in seconds, if it did.
+    ``remaining_s`` is the least time it has left while it leaves, if it says so.
     """
 
     id: str
@@ -35,7 +34,6 @@
     labels: frozenset[str]
     is_leaving: bool
     remaining_s: float | None = None
-    clock_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dalemast/core/supervision/lives.py
+++ b/dalemast/core/supervision/lives.py
@@ -11,6 +11,10 @@
 
 __all__ = ["WorkerLives"]
 
+MAX_OVER = 256
+"""Lives that are over and remembered. A worker has few within one life of its agent, but another
+writer may report under ids without end."""
+
 
 class WorkerLives:
     """The life that is believed to be there, one that claims its place, and those that are over.
@@ -23,8 +27,8 @@
         self._current: WorkerLife | None = None
         self._claimant: WorkerLife | None = None
         self._claimed_at = 0.0
-        self._over: set[str] = set()
-        """Lives that never come back. A worker has few within one life of its agent."""
+        self._over: dict[str, None] = {}
+        """Lives that never come back, the one that ended last at the end."""
         self._unproved: set[str] = set()
         """Lives met before the current one; they are over once it has answered a call."""
 
@@ -55,22 +59,31 @@
         if self._current is None:
             return
         self._unproved.discard(self._current.id)
-        self._over |= self._unproved
+        for life_id in self._unproved:
+            self._note_over(life_id)
         self._unproved.clear()
         if self._claimant is not None and asked_at > self._claimed_at:
-            self._over.add(self._claimant.id)
+            self._note_over(self._claimant.id)
             self._claimant = None
 
     def lose(self, *, is_over: bool) -> WorkerLife | None:
         """Give the current life up; return the claimant that has taken its place, if any."""
         if self._current is not None:
-            (self._over if is_over else self._unproved).add(self._current.id)
+            if is_over:
+                self._note_over(self._current.id)
+            else:
+                self._unproved.add(self._current.id)
         self._current = self._claimant
         self._claimant = None
         return self._current
 
     def bar(self, life_id: str) -> None:
         """Note that a life is over which is not the current one."""
-        self._over.add(life_id)
+        self._note_over(life_id)
         if self._claimant is not None and self._claimant.id == life_id:
             self._claimant = None
+
+    def _note_over(self, life_id: str) -> None:
+        self._over[life_id] = None
+        if len(self._over) > MAX_OVER:
+            del self._over[next(iter(self._over))]
--- a/dalemast/fleet/agent/process.py
+++ b/dalemast/fleet/agent/process.py
@@ -62,7 +62,10 @@
         )
         self._worker.set_owners(self._owners)
         self._registration: BaseRegistration = load_backend(
-            settings.backends.registration, settings=settings, observer=self._worker
+            settings.backends.registration,
+            settings=settings,
+            observer=self._worker,
+            metrics=self._metrics,
         )
         self._pauses = PauseWatch(limit_s=self._times.owner_patience_s)
 
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -57,6 +57,7 @@
         self._wake = asyncio.Event()
         self._orders: set[asyncio.Task[None]] = set()
         self._addressed_life = ""
+        self._doubtful_life = ""
         self._looks = LookSchedule()
         self._refused = 0
         self._looked_at = float("-inf")
@@ -74,13 +75,20 @@
         actions = self._supervisor.meet_life(life, now=time.monotonic())
         believed = self._supervisor.life
         if believed is None or believed.id != life.id:
-            log_event(
-                "worker:doubtful-report", worker=life.id, believed=believed.id if believed else ""
-            )
+            self._note_doubtful(life.id, believed)
         self._follow_life()
         self.apply(actions)
         self._wake.set()
 
+    def _note_doubtful(self, life_id: str, believed: WorkerLife | None) -> None:
+        """Tell of a report that names another life, once for each that follows another."""
+        if life_id == self._doubtful_life:
+            return
+        self._doubtful_life = life_id
+        log_event(
+            "worker:doubtful-report", worker=life_id, believed=believed.id if believed else ""
+        )
+
     def lose_life(self, life_id: str) -> None:
         """Note that a life of the worker has said that it ends."""
         log_event("worker:deregistered", worker=life_id)
--- a/dalemast/platform/foreign.py
+++ b/dalemast/platform/foreign.py
@@ -75,9 +75,6 @@
 def read_report(data: bytes, *, address: str, data_centre: str) -> Heartbeat:
     """Decode a report of the worker that is called at ``address``; raises :class:`ForeignInput`."""
     beat: Heartbeat = read_json(data, Heartbeat)
-    for name in ("address", "version", "slots", "cold_left_ms"):
-        if getattr(beat, name) is msgspec.UNSET:
-            raise ForeignInput(Fault.FIELD_MISSING, name)
     if beat.address != address:
         raise ForeignInput(Fault.OTHER_PLACE, f"address {beat.address}")
     if beat.zone != data_centre:
--- a/dalemast/platform/registration.py
+++ b/dalemast/platform/registration.py
@@ -146,7 +146,6 @@
         labels=frozenset(beat.labels),
         is_leaving=beat.state is WorkerState.LEAVING,
         remaining_s=_to_seconds(beat.remaining_ms),
-        clock_s=_to_seconds(beat.clock_ms),
     )
 
 
--- a/dalemast/platform/wire.py
+++ b/dalemast/platform/wire.py
@@ -219,17 +219,16 @@
 class Heartbeat(Wire, frozen=True, kw_only=True):
     """A worker's account of itself.
 
-    A field is UNSET where the sender left it out. Of these only ``clock_ms`` and ``remaining_ms``
-    may be: :func:`~dalemast.platform.foreign.read_report` refuses a report without the others.
+    ``clock_ms`` and ``remaining_ms`` are UNSET where the sender left them out.
     """
 
     service: Text
-    address: Text | msgspec.UnsetType = msgspec.field(default=msgspec.UNSET, name="addr")
+    address: Text = msgspec.field(name="addr")
     zone: Text
-    version: str | msgspec.UnsetType = msgspec.UNSET
-    slots: Amount | msgspec.UnsetType = msgspec.UNSET
+    version: str
+    slots: Amount
     state: WorkerState
-    cold_left_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
+    cold_left_ms: Milliseconds
     seq: Version
     capacity: CapacityBody
     labels: Annotated[tuple[Text, ...], msgspec.Meta(max_length=MAX_LABELS)]
--- a/tests/core/supervision/test_lives.py
+++ b/tests/core/supervision/test_lives.py
@@ -9,7 +9,7 @@
 from testtools import TestCase
 
 from dalemast.core.supervision.base import WorkerLife
-from dalemast.core.supervision.lives import WorkerLives
+from dalemast.core.supervision.lives import MAX_OVER, WorkerLives
 from dalemast.core.workloads import Resources
 
 LIVES = 4
@@ -90,3 +90,12 @@
             worker.call()
         assert worker.lives.current is not None
         assert worker.lives.current.id == f"i-{worker.number}"
+
+
+class BoundTests(testtools.TestCase):
+    def test_lives_without_end_are_not_all_remembered(self) -> None:
+        """Another writer may report under a new id each time, and end it again."""
+        lives = WorkerLives()
+        for number in range(3 * MAX_OVER):
+            lives.bar(f"i-{number}")
+        self.assertEqual(MAX_OVER, len(lives._over))
