--- /dev/null
+++ b/tests/histories/__main__.py
@@ -0,0 +1,57 @@
+"""A long search: ``python -m tests.histories --seeds 1000 [--first N] [--processes N]``.
+
+Prints, for each history that breaks a promise, its seed, what of it is needed, and what happened.
+"""
+
+from __future__ import annotations
+
+import argparse
+import multiprocessing
+import pprint
+import sys
+import time
+from collections import Counter
+
+from tests.histories.base import History, Outcome
+from tests.histories.draw import draw_history, play, shrink
+
+
+def play_seed(seed: int) -> tuple[int, Outcome]:
+    """Play one seed's history."""
+    return seed, play(draw_history(seed))
+
+
+def describe(history: History) -> str:
+    """Return a history with its trace."""
+    outcome = play(history)
+    return "\n".join([pprint.pformat(history), *outcome.trace, ""])
+
+
+def main() -> int:
+    """Search, and tell what was found."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=1000)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--processes", type=int, default=1)
+    parser.add_argument("--as-drawn", action="store_true", help="do not shrink what is found")
+    parser.add_argument("--most", type=int, default=20, help="how many are shown in full")
+    arguments = parser.parse_args()
+    began = time.perf_counter()
+    seeds = range(arguments.first, arguments.first + arguments.seeds)
+    with multiprocessing.Pool(arguments.processes) as pool:
+        played = pool.map(play_seed, seeds, chunksize=16)
+    took_s = time.perf_counter() - began
+    broken = [(seed, outcome) for seed, outcome in played if outcome.broken]
+    for seed, outcome in broken[: arguments.most]:
+        print(f"== seed {seed}: {outcome.broken[0]}")
+        history = draw_history(seed)
+        print(describe(history if arguments.as_drawn else shrink(history)))
+    answers = Counter(answer for _, outcome in played for answer in outcome.answers)
+    starts = sum(outcome.starts for _, outcome in played)
+    print(f"{len(played)} histories in {took_s:.1f} s, {starts} starts, answers {dict(answers)}")
+    print(f"{len(broken)} broke a promise: seeds {[seed for seed, _ in broken][:200]}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/histories/base.py
@@ -0,0 +1,152 @@
+"""What a history is made of: jobs, faults, and what is found in it. Times are virtual seconds.
+
+Moments count from the first job's arrival on, when the fleet has long found itself together.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+__all__ = [
+    "CallEffect",
+    "CallFault",
+    "Cut",
+    "Drop",
+    "Fault",
+    "Freeze",
+    "HangUp",
+    "History",
+    "JobPlan",
+    "Kill",
+    "Outcome",
+    "Silence",
+]
+
+
+class CallEffect(enum.Enum):
+    """What becomes of a call to a worker; the platform allows each of them."""
+
+    LOST = "lost"
+    """It is never carried out, and not answered."""
+    DONE_UNANSWERED = "done unanswered"
+    """It is carried out at once, and not answered."""
+    DONE_LATE = "done late"
+    """It is carried out later, after newer calls, and not answered."""
+    ANSWERED_LATE = "answered late"
+    """It is carried out at once; the answer comes later, after newer ones."""
+    REJECTED = "rejected"
+    """An unhealthy worker says 503 and does nothing."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Freeze:
+    """A process stands still; what arrives meanwhile waits in its sockets."""
+
+    process: str
+    at_s: float
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Kill:
+    """A process ends without a word, and a new life of it starts ``for_s`` later."""
+
+    process: str
+    at_s: float
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cut:
+    """Nothing gets from one host to another; connections stay open and what is sent is held."""
+
+    sender: str
+    receiver: str
+    at_s: float
+    for_s: float
+    is_both_ways: bool = True
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Silence:
+    """The connections that are open between two hosts fall silent for good; new ones work."""
+
+    first: str
+    second: str
+    at_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Drop:
+    """The connections between two hosts are reset, as by something between them."""
+
+    first: str
+    second: str
+    at_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallFault:
+    """Calls of one kind to a worker go wrong for a while, ``most`` of them at most.
+
+    ``kind`` is start, stop or hold. ``delay_s`` says how late what is late is.
+    """
+
+    worker: str
+    kind: str
+    effect: CallEffect
+    at_s: float
+    for_s: float
+    delay_s: float = 0.0
+    most: int = 1_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HangUp:
+    """A caller loses its connection and submits its job again. Its entry may not hear of it."""
+
+    job: int
+    at_s: float
+    is_heard: bool = True
+
+
+Fault = Freeze | Kill | Cut | Silence | Drop | CallFault | HangUp
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobPlan:
+    """A job of one step. ``run_s`` has each task's run time."""
+
+    at_s: float
+    run_s: tuple[float, ...]
+    entry: int = 0
+    cpu: int = 1000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class History:
+    """One history. ``seed`` decides what small times the faults leave open.
+
+    ``idle_s`` is how long the fleet had nothing to do before, ``rates`` are how fast the workers'
+    clocks go, one for each worker.
+    """
+
+    seed: int
+    jobs: tuple[JobPlan, ...]
+    faults: tuple[Fault, ...]
+    entries: int = 1
+    rates: tuple[float, ...] = (1.0, 1.0)
+    cpu: int = 4000
+    idle_s: float = 1.0
+    lasts_s: float = 6.0
+
+
+@dataclass(kw_only=True, slots=True)
+class Outcome:
+    """What was found: the promises that were broken, and what happened."""
+
+    broken: list[str] = field(default_factory=list)
+    trace: list[str] = field(default_factory=list)
+    starts: int = 0
+    answers: list[str] = field(default_factory=list)
--- /dev/null
+++ b/tests/histories/clock.py
@@ -0,0 +1,156 @@
+"""Virtual time, and event loops that never wait for anything but it."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import selectors
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["ModelHost", "ModelLoop", "Timeline"]
+
+EPOCH_S = 1_700_000_000.0
+"""The time of day at the beginning; only its rise matters, for fencing tokens."""
+BEGIN_S = 1_000.0
+"""The steady clock at the beginning. Not 0, which some code takes for never."""
+
+
+class Timeline:
+    """The clock, and what happens outside of all processes, in order of time."""
+
+    def __init__(self) -> None:
+        self.now = BEGIN_S
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def get_now(self) -> float:
+        """Return the steady clock."""
+        return self.now
+
+    def get_time_of_day(self) -> float:
+        """Return the time of day."""
+        return EPOCH_S + self.now
+
+    def call_at(self, at: float, call: Callable[[], None]) -> None:
+        """Let something happen at a moment; what is planned first for it happens first."""
+        heapq.heappush(self._events, (at, next(self._numbers), call))
+
+    def call_later(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Let something happen in a while."""
+        self.call_at(self.now + delay_s, call)
+
+    def get_next(self) -> float:
+        """Return when the next event is due."""
+        return self._events[0][0] if self._events else float("inf")
+
+    def play_due(self) -> None:
+        """Let all happen that is due."""
+        while self._events and self._events[0][0] <= self.now:
+            heapq.heappop(self._events)[2]()
+
+
+class SilentSelector(selectors.SelectSelector):
+    """Never waits and never has news: what arrives comes by :meth:`ModelHost.take`."""
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        """Return no events."""
+        return []
+
+
+class ModelLoop(asyncio.SelectorEventLoop):
+    """An event loop that is run one turn at a time."""
+
+    def __init__(self, *, timeline: Timeline) -> None:
+        super().__init__(SilentSelector())
+        self._timeline = timeline
+        self.connect: Callable[..., Any] | None = None
+        """Opens a connection of the model: host, port."""
+
+    def time(self) -> float:
+        """Return the steady clock."""
+        return self._timeline.now
+
+    def get_next(self) -> float:
+        """Return when this loop wants to run next."""
+        if self._ready:
+            return self._timeline.now
+        if not self._scheduled:
+            return float("inf")
+        first = self._scheduled[0]
+        # A turn drops cancelled timers.
+        return self._timeline.now if first.cancelled() else first.when()
+
+    def turn(self) -> None:
+        """Run what is ready and what is due, once."""
+        self.stop()
+        self.run_forever()
+
+    async def create_connection(self, factory: Any, host: Any = None, port: Any = None) -> Any:
+        """Open a connection for a protocol."""
+        assert self.connect is not None
+        end = await self.connect(f"{host}:{port}")
+        protocol = factory()
+        end.attach(receive=protocol.data_received, lose=lambda: protocol.connection_lost(None))
+        protocol.connection_made(end)
+        return end, protocol
+
+    async def sock_connect(self, sock: Any, address: Any) -> None:
+        """Wait as long as a connection to an address would take."""
+        assert self.connect is not None
+        end = await self.connect(f"{address[0]}:{address[1]}")
+        end.abort()
+
+
+class ModelHost:
+    """A process, or a worker, or nothing while it is down: takes what arrives, in order.
+
+    Without a loop, what arrives is acted on at once.
+    """
+
+    def __init__(self, *, name: str, timeline: Timeline) -> None:
+        self.name = name
+        self.loop: ModelLoop | None = None
+        self.frozen_until = 0.0
+        self.is_up = True
+        self.process: Any = None
+        self._timeline = timeline
+        self._arrived: list[Callable[[], None]] = []
+
+    def take(self, call: Callable[[], None]) -> None:
+        """Act on something that has arrived, once this process runs."""
+        if not self.is_up:
+            return
+        if self.loop is None:
+            call()
+        else:
+            self._arrived.append(call)
+
+    def get_next(self) -> float:
+        """Return when this process wants to run next."""
+        if self.loop is None or not self.is_up:
+            return float("inf")
+        now = self._timeline.now
+        wanted = now if self._arrived else self.loop.get_next()
+        return max(wanted, self.frozen_until, now)
+
+    def turn(self) -> None:
+        """Run one turn: what has arrived goes before timers, as in any event loop."""
+        assert self.loop is not None
+        arrived, self._arrived = self._arrived, []
+        for call in arrived:
+            self.loop.call_soon(call)
+        self.loop.turn()
+
+    def begin(self, loop: ModelLoop) -> None:
+        """Begin a life."""
+        self.loop = loop
+        self.is_up = True
+        self.frozen_until = 0.0
+        self._arrived = []
+
+    def end(self) -> None:
+        """End without a word."""
+        self.is_up = False
+        self._arrived = []
--- /dev/null
+++ b/tests/histories/draw.py
@@ -0,0 +1,194 @@
+"""Histories drawn from seeds, with faults that are likely to meet; and what of them is needed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import replace
+
+from tests.histories.base import (
+    CallEffect,
+    CallFault,
+    Cut,
+    Drop,
+    Fault,
+    Freeze,
+    HangUp,
+    History,
+    JobPlan,
+    Kill,
+    Outcome,
+    Silence,
+)
+from tests.histories.fleet import ModelFleet
+
+__all__ = ["draw_history", "play", "shrink"]
+
+RUN_S = ((0.05, 0.3), (0.5, 2.0), (3.0, 6.0))
+"""Bounds on run times: the shortest tasks of the platform, and those that outlive a fault."""
+FAULT_S = ((0.03, 0.45), (0.4, 1.0), (1.0, 2.5))
+"""Bounds on how long a fault lasts: within patience, about the chain of times, and beyond it."""
+LATE_S = ((0.01, 0.1), (0.1, 0.6), (0.6, 2.0))
+"""Bounds on how late a call is carried out or answered; the platform says seconds."""
+NEAR_S = ((0.0, 0.01), (0.0, 0.1), (-0.2, 0.5))
+"""Bounds on how far from another moment a fault begins."""
+STEPS_S = (0.0, 0.45, 0.9, 1.17, 1.3)
+"""Times of the product after which something follows from a fault: patience, the chain, the next
+submission."""
+CALL_EFFECTS = {
+    "start": tuple(CallEffect),
+    "stop": tuple(CallEffect),
+    "hold": (CallEffect.LOST, CallEffect.DONE_LATE, CallEffect.ANSWERED_LATE),
+}
+IDLE_S = 30.0
+"""Long enough for a slow clock to go wrong by a whole lease."""
+SLOW_RATE = 0.98
+"""How slow a worker's clock may be; from the platform."""
+LONGEST_S = 6.0
+
+
+def play(history: History) -> Outcome:
+    """Play a history."""
+    return ModelFleet(history=history).play()
+
+
+def draw_history(seed: int) -> History:
+    """Return the history of a seed."""
+    rng = random.Random(seed)
+    jobs = tuple(
+        JobPlan(
+            at_s=0.0 if number == 0 else rng.uniform(0.0, 1.5),
+            run_s=tuple(_draw(rng, RUN_S) for _ in range(rng.randint(1, 4))),
+            entry=rng.randrange(2),
+        )
+        for number in range(rng.choice((1, 1, 2)))
+    )
+    history = History(
+        seed=seed,
+        jobs=jobs,
+        faults=(),
+        entries=rng.choice((1, 1, 1, 2)),
+        rates=tuple(rng.choice((1.0, 1.0, SLOW_RATE)) for _ in range(2)),
+        cpu=rng.choice((2000, 4000)),
+        idle_s=rng.choice((1.0,) * 7 + (IDLE_S,)),
+        lasts_s=LONGEST_S,
+    )
+    moments = [job.at_s for job in jobs]
+    faults: list[Fault] = []
+    for _ in range(rng.choice((1, 2, 2, 3, 3, 4, 4))):
+        at_s = rng.choice(moments) + rng.choice(STEPS_S) * rng.randint(0, 1)
+        at_s = min(max(at_s + _draw(rng, NEAR_S), -0.2), 4.0)
+        moments.append(at_s)
+        faults.append(_draw_fault(rng, history, at_s))
+    return replace(history, faults=tuple(faults))
+
+
+def shrink(history: History) -> History:
+    """Leave out of a history whatever its broken promise does not need."""
+    kind = _get_kind(play(history))
+    is_smaller = True
+    while is_smaller:
+        is_smaller = False
+        for smaller in _make_smaller(history):
+            if _get_kind(play(smaller)) == kind:
+                history, is_smaller = smaller, True
+                break
+    return history
+
+
+def _make_smaller(history: History) -> Iterator[History]:
+    for number in range(len(history.faults)):
+        faults = history.faults[:number] + history.faults[number + 1 :]
+        yield replace(history, faults=faults)
+    if len(history.jobs) > 1:
+        for number in range(len(history.jobs)):
+            yield _drop_job(history, number)
+    for number, job in enumerate(history.jobs):
+        for task in range(len(job.run_s)):
+            if len(job.run_s) > 1:
+                fewer = replace(job, run_s=job.run_s[:task] + job.run_s[task + 1 :])
+                jobs = (*history.jobs[:number], fewer, *history.jobs[number + 1 :])
+                yield replace(history, jobs=jobs)
+    if history.entries > 1:
+        yield replace(history, entries=1)
+    if history.idle_s > 1.0:
+        yield replace(history, idle_s=1.0)
+    for number, rate in enumerate(history.rates):
+        if rate != 1.0:
+            rates = (*history.rates[:number], 1.0, *history.rates[number + 1 :])
+            yield replace(history, rates=rates)
+
+
+def _drop_job(history: History, dropped: int) -> History:
+    """Leave out a job and what befalls its caller."""
+    faults = []
+    for fault in history.faults:
+        if isinstance(fault, HangUp):
+            if fault.job == dropped:
+                continue
+            fault = replace(fault, job=fault.job - (fault.job > dropped))
+        faults.append(fault)
+    jobs = history.jobs[:dropped] + history.jobs[dropped + 1 :]
+    return replace(history, jobs=jobs, faults=tuple(faults))
+
+
+def _get_kind(outcome: Outcome) -> str:
+    """Return what kind of promise was broken first."""
+    if not outcome.broken:
+        return ""
+    words = ("fault", "goes on", "refused", "without")
+    return next((word for word in words if word in outcome.broken[0]), "other")
+
+
+def _draw_fault(rng: random.Random, history: History, at_s: float) -> Fault:
+    worker = rng.randrange(len(history.rates))
+    agent, entry = f"agent-{worker}", f"entry-{rng.randrange(history.entries)}"
+    kinds = ("call",) * 6 + ("freeze",) * 4 + ("cut",) * 3 + ("hang up",) * 3
+    kind = rng.choice((*kinds, "drop", "drop", "silence", "kill", "kill"))
+    for_s = _draw(rng, FAULT_S)
+    match kind:
+        case "call":
+            return _draw_call_fault(rng, f"worker-{worker}", at_s, for_s)
+        case "freeze":
+            process = rng.choice((agent, agent, entry))
+            return Freeze(process=process, at_s=at_s, for_s=for_s)
+        case "cut":
+            sender, receiver = rng.choice(((entry, agent), (agent, entry)))
+            is_both_ways = rng.random() < 0.5
+            return Cut(
+                sender=sender,
+                receiver=receiver,
+                at_s=at_s,
+                for_s=for_s,
+                is_both_ways=is_both_ways,
+            )
+        case "hang up":
+            job = rng.randrange(len(history.jobs))
+            return HangUp(job=job, at_s=at_s, is_heard=rng.random() < 0.8)
+        case "drop":
+            return Drop(first=entry, second=agent, at_s=at_s)
+        case "silence":
+            return Silence(first=entry, second=agent, at_s=at_s)
+        case _:
+            process = rng.choice((agent, agent, entry))
+            return Kill(process=process, at_s=at_s, for_s=rng.uniform(0.1, 1.5))
+
+
+def _draw_call_fault(rng: random.Random, worker: str, at_s: float, for_s: float) -> CallFault:
+    kind = rng.choice(("start", "start", "stop", "hold"))
+    effect = rng.choice(CALL_EFFECTS[kind])
+    is_late = effect in (CallEffect.DONE_LATE, CallEffect.ANSWERED_LATE)
+    return CallFault(
+        worker=worker,
+        kind=kind,
+        effect=effect,
+        at_s=at_s,
+        for_s=for_s,
+        delay_s=_draw(rng, LATE_S) if is_late else 0.0,
+        most=rng.choice((1, 1, 2, 3, 1000)),
+    )
+
+
+def _draw(rng: random.Random, bounds: tuple[tuple[float, float], ...]) -> float:
+    """Draw a time from one of several ranges, each as likely as the others."""
+    return round(rng.uniform(*rng.choice(bounds)), 3)
--- /dev/null
+++ b/tests/histories/fleet.py
@@ -0,0 +1,476 @@
+"""The modelled fleet: real entries and agents on modelled hosts, and callers.
+
+What of the product is replaced stands in :meth:`ModelFleet.patch` alone: clocks, the opening of
+WebSockets, the listener for operators, random names, and where log lines go.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+from collections.abc import Callable, Iterator
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+import msgspec
+
+from dalemast.core.workloads import JobRequest, Resources, StepRequest
+from dalemast.fleet.agent import FleetAgentProcess
+from dalemast.fleet.base import JobDone, JobDropped, JobTurnedAway
+from dalemast.fleet.entry import FleetEntryProcess
+from dalemast.settings import (
+    AddressSettings,
+    FleetAgentSettings,
+    FleetEntrySettings,
+    ListenerSettings,
+)
+from dalemast.settings.fleet import BackendSettings
+from tests.histories.backends import QUEUE, ModelRegistration
+from tests.histories.base import (
+    CallFault,
+    Cut,
+    Drop,
+    Fault,
+    Freeze,
+    HangUp,
+    History,
+    JobPlan,
+    Kill,
+    Outcome,
+    Silence,
+)
+from tests.histories.clock import ModelHost, ModelLoop, Timeline
+from tests.histories.network import End, Network, open_socket
+from tests.histories.worker import DATA_CENTRE, ModelWorker, StartedRun, TaskText
+
+__all__ = ["ModelFleet"]
+
+BEAT_S = 1.5
+"""Pause between a worker's reports; from the platform."""
+RESEND_S = 1.3
+"""When a caller that lost its connection, or got a 502, submits its job again; from the platform."""
+REFUSED_S = 0.05
+"""When a caller whose entry is down tries another one."""
+PATIENCE_S = 30.0
+BACKENDS = BackendSettings(
+    store="tests.histories.backends.ModelStore",
+    ingress="tests.histories.backends.ModelIngress",
+    registration="tests.histories.backends.ModelRegistration",
+)
+ANYWHERE = ListenerSettings(address="127.0.0.1:0")
+HIDDEN_LINES = frozenset({"process:started", "configuration:in-force", "job:ended"})
+
+
+class ModelCaller:
+    """Whoever wants one job done, and submits it again as the platform's callers do."""
+
+    def __init__(self, *, number: int, plan: JobPlan) -> None:
+        self.job_id = f"{number:016x}"
+        self.plan = plan
+        self.submission = 0
+        self.entry = ""
+        self.is_over = False
+        self.refused: set[int] = set()
+        """The submissions that were answered as refused."""
+
+    def make_request(self) -> JobRequest:
+        """Return the job as it is submitted now."""
+        plan = self.plan
+        text = TaskText(run_s=plan.run_s, cpu=plan.cpu, submission=self.submission)
+        step = StepRequest(
+            count=len(plan.run_s),
+            resources=Resources(cpu=plan.cpu, memory_mb=10),
+            estimate_s=max(plan.run_s),
+        )
+        return JobRequest(
+            id=self.job_id,
+            queue=QUEUE,
+            payload=msgspec.json.encode(text).decode(),
+            steps=(step,),
+            patience_s=PATIENCE_S,
+        )
+
+
+class ModelFleet:
+    """Plays one history."""
+
+    def __init__(self, *, history: History) -> None:
+        self._history = history
+        self._timeline = Timeline()
+        self._rng = random.Random(history.seed)
+        self._network = Network(timeline=self._timeline, rng=self._rng)
+        self._outcome = Outcome()
+        self._zero = self._timeline.now + history.idle_s
+        self._hosts: dict[str, ModelHost] = {}
+        self._makers: dict[str, Callable[[], Any]] = {}
+        self._accepts: dict[str, Callable[[Any], Any]] = {}
+        """Who serves the WebSockets that are opened at an address."""
+        self._loops: list[ModelLoop] = []
+        self._names = itertools.count(1)
+        self._running = ""
+        self._workers: list[ModelWorker] = []
+        self._callers = [
+            ModelCaller(number=number, plan=plan)
+            for number, plan in enumerate(history.jobs, start=1)
+        ]
+
+    def play(self) -> Outcome:
+        """Play the history until a promise is broken or it is over."""
+        with self.patch():
+            try:
+                self._build()
+                self._run_until(self._zero + self._history.lasts_s)
+                self._check_answers()
+            finally:
+                self._close()
+        return self._outcome
+
+    @contextlib.contextmanager
+    def patch(self) -> Iterator[None]:
+        """Put the model in place of clocks, sockets, random names and logs."""
+        random_state = random.getstate()
+        random.seed(self._history.seed)
+        with contextlib.ExitStack() as stack:
+            for target, value in {
+                "time.monotonic": self._timeline.get_now,
+                "time.time": self._timeline.get_time_of_day,
+                "dalemast.fleet.links.dialer.ws_connect": self._open_web_socket,
+                "dalemast.fleet.links.listener.ws_create_server": self._listen,
+                "dalemast.fleet.process.MetricsListener": mock.MagicMock(),
+                "dalemast.fleet.entry.process.make_incarnation": self._make_name,
+                "dalemast.fleet.agent.process.make_incarnation": self._make_name,
+                "dalemast.observability.logs._State.output": self._take_line,
+                "dalemast.observability.logs._State.level": 3,
+            }.items():
+                stack.enter_context(mock.patch(target, value))
+            try:
+                yield
+            finally:
+                random.setstate(random_state)
+
+    def _build(self) -> None:
+        entries = [f"entry-{number}" for number in range(self._history.entries)]
+        addresses = {name: f"10.0.0.{number}:1" for number, name in enumerate(entries, start=1)}
+        for name, address in addresses.items():
+            self._makers[name] = self._make_entry_maker(name, address, tuple(addresses.values()))
+        for number, rate in enumerate(self._history.rates):
+            self._add_worker(number, rate, tuple(addresses.values()))
+        for name in self._makers:
+            self._hosts[name] = ModelHost(name=name, timeline=self._timeline)
+            self._begin(name)
+        for number, caller in enumerate(self._callers):
+            entry = entries[caller.plan.entry % len(entries)]
+            at = self._zero + caller.plan.at_s
+            self._timeline.call_at(at, lambda c=caller, e=entry: self._submit(c, e))
+            del number
+        for fault in self._history.faults:
+            self._plan(fault)
+
+    def _make_entry_maker(
+        self, name: str, address: str, seeds: tuple[str, ...]
+    ) -> Callable[[], Any]:
+        settings = FleetEntrySettings(
+            name=name,
+            data_centre=DATA_CENTRE,
+            callers=ANYWHERE,
+            readiness=ANYWHERE,
+            links=ListenerSettings(address=address),
+            metrics=ANYWHERE,
+            store=AddressSettings(address="10.0.1.1:1"),
+            seeds=seeds,
+            backends=BACKENDS,
+        )
+        return lambda: FleetEntryProcess(settings=settings)
+
+    def _add_worker(self, number: int, rate: float, seeds: tuple[str, ...]) -> None:
+        name, agent = f"worker-{number}", f"agent-{number}"
+        address = f"10.0.2.{number + 1}:1"
+        worker = ModelWorker(
+            name=name,
+            cpu=self._history.cpu,
+            rate=rate,
+            timeline=self._timeline,
+            rng=self._rng,
+            faults=[
+                _shift(f, self._zero)
+                for f in self._history.faults
+                if isinstance(f, CallFault) and f.worker == name
+            ],
+            on_start=self._check_start,
+            note=self._note,
+        )
+        self._workers.append(worker)
+        self._network.listen(address, worker.host, worker.accept)
+        settings = FleetAgentSettings(
+            name=agent,
+            data_centre=DATA_CENTRE,
+            registration=ANYWHERE,
+            worker=AddressSettings(address=address),
+            metrics=ANYWHERE,
+            store=AddressSettings(address="10.0.1.1:1"),
+            seeds=seeds,
+            backends=BACKENDS,
+        )
+        self._makers[agent] = lambda: FleetAgentProcess(settings=settings)
+        self._timeline.call_later(0.02 * number, lambda: self._report(worker, agent))
+
+    def _report(self, worker: ModelWorker, agent: str) -> None:
+        """Let a worker report to its agent, now and from time to time."""
+        host = self._hosts[agent]
+        host.take(lambda: ModelRegistration.observers[agent].meet_life(worker.life))
+        self._timeline.call_later(BEAT_S, lambda: self._report(worker, agent))
+
+    def _begin(self, name: str) -> None:
+        """Begin a life of a process."""
+        host = self._hosts[name]
+        loop = ModelLoop(timeline=self._timeline)
+        loop.connect = lambda address: self._network.connect(host, address)
+        loop.host = host  # type: ignore[attr-defined]
+        loop.set_exception_handler(lambda _, context: self._take_error(name, context))
+        self._loops.append(loop)
+        host.begin(loop)
+
+        async def run() -> None:
+            host.process = self._makers[name]()
+            await host.process.start()
+
+        loop.create_task(run())
+
+    # What happens, in order of time.
+
+    def _run_until(self, end: float) -> None:
+        timeline = self._timeline
+        hosts = list(self._hosts.values())
+        while not self._outcome.broken:
+            wanted = [(host.get_next(), host) for host in hosts]
+            at = min(min(when for when, _ in wanted), timeline.get_next())
+            if at > end:
+                return
+            timeline.now = max(timeline.now, at)
+            if timeline.get_next() <= timeline.now:
+                timeline.play_due()
+                continue
+            for when, host in wanted:
+                if when <= timeline.now:
+                    self._running = host.name
+                    host.turn()
+
+    def _plan(self, fault: Fault) -> None:
+        if isinstance(fault, CallFault):
+            return
+        self._timeline.call_at(self._zero + fault.at_s, lambda: self._do(fault))
+
+    def _do(self, fault: Fault) -> None:
+        self._note("fault", repr(fault))
+        now = self._timeline.now
+        match fault:
+            case Freeze():
+                host = self._hosts[fault.process]
+                host.frozen_until = max(host.frozen_until, now + fault.for_s)
+            case Kill():
+                self._kill(fault)
+            case Cut():
+                self._network.cut(fault.sender, fault.receiver, until=now + fault.for_s)
+                if fault.is_both_ways:
+                    self._network.cut(fault.receiver, fault.sender, until=now + fault.for_s)
+            case Silence():
+                self._network.silence(fault.first, fault.second)
+            case Drop():
+                self._network.drop(fault.first, fault.second)
+            case HangUp():
+                self._hang_up(fault)
+
+    def _kill(self, fault: Kill) -> None:
+        host = self._hosts[fault.process]
+        if not host.is_up:
+            return
+        host.end()
+        self._network.end_host(host)
+        self._timeline.call_later(fault.for_s, lambda: self._begin(fault.process))
+        for caller in self._callers:
+            if caller.entry == fault.process and not caller.is_over and caller.submission:
+                self._submit_later(caller)
+
+    # Callers.
+
+    def _submit(self, caller: ModelCaller, entry: str) -> None:
+        host = self._hosts[entry]
+        if not host.is_up:
+            self._timeline.call_later(REFUSED_S, lambda: self._submit(caller, self._draw_entry()))
+            return
+        caller.submission += 1
+        caller.entry = entry
+        self._note("caller", f"submits {caller.job_id} to {entry}, try {caller.submission}")
+        request, submission = caller.make_request(), caller.submission
+
+        def arrive() -> None:
+            assert host.loop is not None
+            task = host.loop.create_task(host.process.run(request))
+            task.add_done_callback(lambda done: self._answer(caller, submission, done))
+
+        host.take(arrive)
+
+    def _answer(self, caller: ModelCaller, submission: int, task: asyncio.Task[Any]) -> None:
+        if task.cancelled():
+            return
+        outcome = task.result()
+        self._note(caller.entry, f"answers {caller.job_id} try {submission}: {outcome}")
+        if isinstance(outcome, JobTurnedAway):
+            caller.refused.add(submission)
+        if submission != caller.submission or caller.is_over:
+            return
+        if isinstance(outcome, JobDropped):
+            self._submit_later(caller)
+            return
+        caller.is_over = True
+        self._outcome.answers.append(type(outcome).__name__)
+        if isinstance(outcome, JobDone) and outcome.state.value == "succeeded":
+            self._check_done(caller)
+
+    def _hang_up(self, fault: HangUp) -> None:
+        caller = self._callers[fault.job]
+        if caller.is_over or not caller.submission:
+            return
+        host = self._hosts[caller.entry]
+        if fault.is_heard and host.is_up:
+            host.take(lambda: host.process.leave(caller.job_id))
+        self._submit_later(caller)
+
+    def _submit_later(self, caller: ModelCaller) -> None:
+        """Give the present try up and submit again, to any entry."""
+        caller.submission += 1
+        mark = caller.submission
+
+        def submit() -> None:
+            if caller.submission == mark and not caller.is_over:
+                self._submit(caller, self._draw_entry())
+
+        self._timeline.call_later(RESEND_S, submit)
+
+    def _draw_entry(self) -> str:
+        return f"entry-{self._rng.randrange(self._history.entries)}"
+
+    # Promises.
+
+    def _check_start(self, started: StartedRun) -> None:
+        self._outcome.starts += 1
+        for worker in self._workers:
+            run = worker.get_active().get(started.task)
+            if run is not None and worker.name != started.worker:
+                self._break(
+                    f"run {started.run} of {started.task} begins on {started.worker} while run "
+                    f"{run} goes on on {worker.name}"
+                )
+        caller = next(c for c in self._callers if started.task.startswith(c.job_id))
+        if started.submission in caller.refused:
+            self._break(f"run {started.run} of {started.task} begins after its job was refused")
+
+    def _check_done(self, caller: ModelCaller) -> None:
+        done = {task for worker in self._workers for task in worker.done}
+        for position in range(len(caller.plan.run_s)):
+            if f"{caller.job_id}.0.0.{position}" not in done:
+                self._break(f"{caller.job_id} is answered as done without its task {position}")
+
+    def _check_answers(self) -> None:
+        for caller in self._callers:
+            if not caller.is_over:
+                self._outcome.answers.append("none")
+
+    def _break(self, what: str) -> None:
+        self._note("broken", what)
+        self._outcome.broken.append(what)
+
+    # What was seen.
+
+    def _note(self, who: str, what: str) -> None:
+        at_s = self._timeline.now - self._zero
+        self._outcome.trace.append(f"{at_s:8.4f} {who:9} {what}")
+
+    def _take_line(self, line: dict[str, Any]) -> None:
+        event = line["message_type"]
+        if event in HIDDEN_LINES:
+            return
+        hidden = ("task_uuid", "task_level", "timestamp", "message_type", "process")
+        fields = " ".join(f"{key}={value}" for key, value in line.items() if key not in hidden)
+        self._note(self._running, f"{event} {fields}")
+        if event == "link:fault":
+            self._break(f"a fault in {self._running}: {fields}")
+
+    def _take_error(self, name: str, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        self._break(f"a fault in {name}: {context['message']} {error!r}")
+
+    # The seams to the product.
+
+    def _make_name(self) -> str:
+        return f"life-{next(self._names)}"
+
+    async def _listen(self, accept: Any, host: str, port: int, **arguments: Any) -> Any:
+        address = f"{host}:{port}"
+        loop: Any = asyncio.get_running_loop()
+        self._accepts[address] = accept
+        self._network.listen(address, loop.host)
+        return SimpleNamespace(close=lambda: None, sockets=())
+
+    async def _open_web_socket(
+        self, factory: Any, url: str, *, socket_factory: Any, **arguments: Any
+    ) -> None:
+        address, _, path = url.removeprefix("ws://").partition("/")
+        host, _, port = address.partition(":")
+        sock = await socket_factory(SimpleNamespace(host=host, port=int(port)))
+        sock.close()
+        loop: Any = asyncio.get_running_loop()
+        end = await loop.connect(address)
+        opened: asyncio.Future[None] = loop.create_future()
+
+        def serve(far: End) -> None:
+            listener = self._accepts[address](SimpleNamespace(path=f"/{path}".encode()))
+            if listener is None:
+                far.abort()
+                return
+            far.write(begin)
+            open_socket(far, listener)
+
+        def begin(near: End) -> None:
+            if opened.done():
+                near.abort()
+                return
+            open_socket(near, factory())
+            opened.set_result(None)
+
+        def lose() -> None:
+            if not opened.done():
+                opened.set_exception(ConnectionResetError("reset in its greeting"))
+
+        end.attach(receive=lambda item: None, lose=lose)
+        end.write(serve)
+        try:
+            await opened
+        except asyncio.CancelledError:
+            end.abort()
+            raise
+
+    def _close(self) -> None:
+        for loop in self._loops:
+            loop.set_exception_handler(lambda *arguments: None)
+            for task in asyncio.all_tasks(loop):
+                task.cancel()
+            for _ in range(5):
+                loop.turn()
+            loop.close()
+
+
+def _shift(fault: CallFault, zero: float) -> CallFault:
+    """Return a fault whose moment is on the steady clock."""
+    return CallFault(
+        worker=fault.worker,
+        kind=fault.kind,
+        effect=fault.effect,
+        at_s=zero + fault.at_s,
+        for_s=fault.for_s,
+        delay_s=fault.delay_s,
+        most=fault.most,
+    )
--- /dev/null
+++ b/tests/histories/worker.py
@@ -0,0 +1,295 @@
+"""A worker as the platform's pages describe it: calls may get lost, be done late, be answered late.
+
+Its clock counts from elsewhere than its agent's, and may be slow.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from dalemast.core.supervision import WorkerLife
+from dalemast.core.workloads import Resources
+from dalemast.emulator.runs import EmulatedRuns, Order
+from dalemast.platform.wire import EXPECTED_LIFE_HEADER, ClockAnswer, HoldAnswer
+from dalemast.platform.worker import LOOK_PATH, START_PATH, STOP_PATH
+from tests.histories.base import CallEffect, CallFault
+from tests.histories.clock import ModelHost, Timeline
+from tests.histories.network import End
+
+__all__ = ["SERVICE", "ModelWorker", "StartedRun", "TaskText"]
+
+SERVICE = "floor"
+DATA_CENTRE = "austin"
+STOP_S = 0.05
+"""The longest time that a stop takes; from the platform."""
+HOLD_GRAIN_S = 0.005
+"""How often a waiting answer looks for an end."""
+ANSWER_S = (0.0003, 0.002)
+"""Bounds on how long a sound worker takes for an answer."""
+KINDS = {START_PATH: "start", STOP_PATH: "stop", LOOK_PATH: "hold"}
+CLOCK_AHEAD_S = 5_000.0
+"""What the worker's clock shows more than the agent's at the beginning."""
+
+
+class TaskText(msgspec.Struct, frozen=True, kw_only=True):
+    """A task's text: what the modelled worker needs to know of it, and of which try it is."""
+
+    run_s: tuple[float, ...]
+    cpu: int
+    submission: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartedRun:
+    """A run as it begins."""
+
+    worker: str
+    task: str
+    run: int
+    submission: int
+
+
+class ModelWorker:
+    """One worker, in one life."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        cpu: int,
+        rate: float,
+        timeline: Timeline,
+        rng: random.Random,
+        faults: list[CallFault],
+        on_start: Callable[[StartedRun], None],
+        note: Callable[[str, str], None],
+    ) -> None:
+        self.host = ModelHost(name=name, timeline=timeline)
+        self.life = WorkerLife(
+            id=f"i-{name}",
+            service=SERVICE,
+            data_centre=DATA_CENTRE,
+            capacity=Resources(cpu=cpu, memory_mb=65_536),
+            labels=frozenset(),
+            is_leaving=False,
+        )
+        self._cpu = cpu
+        self._rate = rate
+        self._began_at = timeline.now
+        self._timeline = timeline
+        self._rng = rng
+        self._faults = faults
+        self._used_faults: dict[int, int] = {}
+        self._on_start = on_start
+        self._note = note
+        self._runs = EmulatedRuns()
+        self._cpus: dict[str, int] = {}
+        self._ends_noted = 0
+
+    @property
+    def name(self) -> str:
+        """Its name, which its life's id holds too."""
+        return self.host.name
+
+    @property
+    def done(self) -> set[str]:
+        """The tasks that have ended well here."""
+        self._advance()
+        return self._runs.done
+
+    def get_active(self) -> dict[str, int]:
+        """Return the runs that are going, by task."""
+        self._advance()
+        return {task: active.order.run for task, active in self._runs.active.items()}
+
+    def accept(self, end: End) -> None:
+        """Take a connection."""
+        end.attach(receive=lambda data: self._receive(end, data), lose=lambda: None)
+
+    def _now(self) -> float:
+        """Return the worker's own clock."""
+        passed_s = (self._timeline.now - self._began_at) * self._rate
+        return self._began_at + CLOCK_AHEAD_S + passed_s
+
+    def _advance(self) -> None:
+        self._runs.advance(self._now())
+        for number, task, run, how in self._runs.get_ended():
+            if number > self._ends_noted:
+                self._ends_noted = number
+                self._note(self.name, f"run {run} of {task} ends: {how}")
+
+    def _receive(self, end: End, data: bytes) -> None:
+        head, _, body = data.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        path = lines[0].split(" ")[1]
+        headers = dict(line.split(": ", 1) for line in lines[1:])
+        call = msgspec.json.decode(body)
+        if headers.get(EXPECTED_LIFE_HEADER, self.life.id) != self.life.id:
+            _answer(end, 421, ClockAnswer())
+            return
+        kind = KINDS[path]
+        effect, delay_s = self._choose_effect(kind)
+        if effect is not None:
+            what = f"{call['task']} run {call['run']}" if "task" in call else ""
+            self._note(self.name, f"{kind} {what} will be {effect.value} ({delay_s:.3f} s)")
+        if effect is CallEffect.LOST:
+            return
+        if effect is CallEffect.REJECTED:
+            _answer(end, 503, ClockAnswer())
+            return
+        if effect is CallEffect.DONE_LATE:
+            self._timeline.call_later(delay_s, lambda: self._carry_out(kind, call))
+            return
+        if kind == "hold":
+            answer_at = self._timeline.now + call.get("wait_ms", 0) / 1000
+            self._hold(end, call, answer_at=answer_at, effect=effect, delay_s=delay_s)
+            return
+        status, answer = self._carry_out(kind, call)
+        self._answer_soon(end, status, answer, effect=effect, delay_s=delay_s)
+
+    def _choose_effect(self, kind: str) -> tuple[CallEffect | None, float]:
+        now = self._timeline.now
+        for number, fault in enumerate(self._faults):
+            if fault.kind != kind or not fault.at_s <= now < fault.at_s + fault.for_s:
+                continue
+            used = self._used_faults.get(number, 0)
+            if used < fault.most:
+                self._used_faults[number] = used + 1
+                return fault.effect, fault.delay_s
+        return None, 0.0
+
+    def _answer_soon(
+        self, end: End, status: int, answer: Any, *, effect: CallEffect | None, delay_s: float
+    ) -> None:
+        if effect is CallEffect.DONE_UNANSWERED:
+            return
+        if effect is not CallEffect.ANSWERED_LATE:
+            delay_s = self._rng.uniform(*ANSWER_S)
+        self._timeline.call_later(delay_s, lambda: _answer(end, status, answer))
+
+    def _carry_out(self, kind: str, call: dict[str, Any]) -> tuple[int, Any]:
+        self._advance()
+        if kind == "start":
+            reason = self._start(call)
+        elif kind == "stop":
+            reason = self._stop(call)
+        else:
+            reason = self._renew(call)
+        return (409 if reason else 200), self._make_answer(reason)
+
+    def _start(self, call: dict[str, Any]) -> str:
+        text = msgspec.json.decode(call["spec"], type=TaskText)
+        task, run, now = call["task"], call["run"], self._now()
+        active = self._runs.active.get(task)
+        is_there = active is not None and active.order.run == run
+        position = int(task.rpartition(".")[2])
+        order = Order(
+            task=task,
+            run=run,
+            until_s=call["until_ms"] / 1000,
+            fence=call["fence"],
+            run_s=text.run_s[position],
+        )
+        if not is_there and not self._has_room(text.cpu):
+            # Room is looked at last: a start that is refused for another reason says so.
+            trial = self._runs.hold(
+                fence=call["fence"], ends_seen=0, until_s=order.until_s, now=now
+            )
+            return trial or "room"
+        others = self.get_active().get(task)
+        reason = self._runs.start(order, now=now)
+        left_s = order.until_s - now
+        self._note(
+            self.name,
+            f"start of {task} run {run}: {reason or 'ok'}, lease of {left_s:.3f} s in it"
+            + (f", REPLACES run {others}" if others not in (None, run) else ""),
+        )
+        if not reason and not is_there:
+            self._cpus[task] = text.cpu
+            self._on_start(
+                StartedRun(worker=self.name, task=task, run=run, submission=text.submission)
+            )
+        return reason
+
+    def _has_room(self, cpu: int) -> bool:
+        used = sum(self._cpus.get(task, 0) for task in self._runs.active)
+        return used + cpu <= self._cpu
+
+    def _stop(self, call: dict[str, Any]) -> str:
+        task, run = call["task"], call["run"]
+        active = self._runs.active.get(task)
+        is_going = active is not None and active.order.run == run
+        self._note(self.name, f"stop of {task} run {run}{'' if is_going else ', not there'}")
+        if not is_going:
+            return self._runs.stop(task, run, call["fence"], now=self._now())
+        self._timeline.call_later(
+            self._rng.uniform(0.0, STOP_S),
+            lambda: self._end_stopped(task, run, call["fence"]),
+        )
+        return ""
+
+    def _end_stopped(self, task: str, run: int, fence: int) -> None:
+        self._runs.stop(task, run, fence, now=self._now())
+        self._advance()
+
+    def _renew(self, call: dict[str, Any]) -> str:
+        until_ms = call.get("until_ms")
+        return self._runs.hold(
+            fence=call["fence"],
+            ends_seen=call.get("acked_upto", 0),
+            until_s=None if until_ms is None else until_ms / 1000,
+            now=self._now(),
+        )
+
+    def _hold(
+        self,
+        end: End,
+        call: dict[str, Any],
+        *,
+        answer_at: float,
+        effect: CallEffect | None,
+        delay_s: float,
+    ) -> None:
+        self._advance()
+        reason = self._renew(call)
+        if reason:
+            self._answer_soon(end, 409, self._make_answer(reason), effect=effect, delay_s=delay_s)
+            return
+        self._await_end(end, answer_at=answer_at, effect=effect, delay_s=delay_s)
+
+    def _await_end(
+        self, end: End, *, answer_at: float, effect: CallEffect | None, delay_s: float
+    ) -> None:
+        self._advance()
+        if end.is_closed:
+            return
+        if self._timeline.now < answer_at and not self._runs.get_ended():
+            self._timeline.call_later(
+                HOLD_GRAIN_S,
+                lambda: self._await_end(end, answer_at=answer_at, effect=effect, delay_s=delay_s),
+            )
+            return
+        now = self._now()
+        answer = HoldAnswer(
+            clock_ms=round(now * 1000),
+            running=tuple(
+                (task, run.order.run, "", run.get_percent(now))
+                for task, run in self._runs.active.items()
+            ),
+            ended=tuple((*ended, "") for ended in self._runs.get_ended()),
+        )
+        self._answer_soon(end, 200, answer, effect=effect, delay_s=delay_s)
+
+    def _make_answer(self, reason: str) -> ClockAnswer:
+        return ClockAnswer(clock_ms=round(self._now() * 1000), reason=reason)
+
+
+def _answer(end: End, status: int, answer: Any) -> None:
+    body = msgspec.json.encode(answer)
+    head = f"HTTP/1.1 {status} Any\r\nContent-Length: {len(body)}\r\n\r\n"
+    end.write(head.encode() + body)
