--- a/tests/histories/base.py
+++ b/tests/histories/base.py
@@ -37,6 +37,8 @@
     """It is carried out at once; the answer comes later, after newer ones."""
     REJECTED = "rejected"
     """An unhealthy worker says 503 and does nothing."""
+    NO_ROOM = "refused for room"
+    """The worker says that it lacks room, unless the run is there already."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/histories/draw.py
+++ b/tests/histories/draw.py
@@ -37,7 +37,12 @@
 submission."""
 CALL_EFFECTS = {
     "start": tuple(CallEffect),
-    "stop": tuple(effect for effect in CallEffect if effect is not CallEffect.REJECTED),
+    "stop": (
+        CallEffect.LOST,
+        CallEffect.DONE_UNANSWERED,
+        CallEffect.DONE_LATE,
+        CallEffect.ANSWERED_LATE,
+    ),
     "hold": (CallEffect.LOST, CallEffect.DONE_LATE, CallEffect.ANSWERED_LATE),
 }
 IDLE_S = 30.0
--- /dev/null
+++ b/tests/histories/test_orders.py
@@ -0,0 +1,231 @@
+"""Orders of events in which a run could outlive what its owner believes, each played many times.
+
+Small times differ from one play to the next: the ways of packets, how long a stop takes. What is
+named here has to hold for all of them.
+"""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from tests.histories.base import (
+    CallEffect,
+    CallFault,
+    Cut,
+    Drop,
+    Fault,
+    Freeze,
+    HangUp,
+    History,
+    JobPlan,
+    Kill,
+)
+from tests.histories.draw import IDLE_S, SLOW_RATE, play
+
+PLAYS = 12
+"""Enough that each of these orders came about in some play, and a tenth of a second or two."""
+LONG_S = 6.0
+AT_ONCE_S = 0.0015
+"""When starts have been sent, and have reached agents in about half of the plays."""
+SLOW_CLOCKS = (SLOW_RATE, SLOW_RATE)
+
+
+class OrdersTestCase(unittest.TestCase):
+    """Plays one history with several seeds."""
+
+    def check(self, *faults: Fault, runs: tuple[float, ...] = (LONG_S,), **fields: object) -> None:
+        """Check that no play breaks a promise, and that tasks do start."""
+        jobs = (JobPlan(at_s=0.0, run_s=runs),)
+        drawn = History(seed=0, jobs=jobs, faults=faults)
+        for seed in range(PLAYS):
+            history = replace(drawn, **{**fields, "seed": seed})  # type: ignore[arg-type]
+            outcome = play(history)
+            self.assertEqual([], outcome.broken, "\n".join(outcome.trace))
+            self.assertGreater(outcome.starts, 0)
+
+
+def fail_calls(
+    kind: str,
+    effect: CallEffect,
+    *,
+    at_s: float = 0.0,
+    for_s: float = LONG_S,
+    delay_s: float = 0.0,
+    most: int = 1000,
+) -> tuple[CallFault, ...]:
+    """Return a fault of the calls to both workers, since either may be given the task."""
+    return tuple(
+        CallFault(
+            worker=worker,
+            kind=kind,
+            effect=effect,
+            at_s=at_s,
+            for_s=for_s,
+            delay_s=delay_s,
+            most=most,
+        )
+        for worker in ("worker-0", "worker-1")
+    )
+
+
+class StopTests(OrdersTestCase):
+    """A stop is no bound: it may get lost, or be carried out seconds later."""
+
+    def test_a_lost_stop_of_a_run_that_makes_progress(self) -> None:
+        stop = fail_calls("stop", CallEffect.LOST, most=1)
+        self.check(HangUp(job=0, at_s=0.5), *stop)
+
+    def test_a_lost_stop_of_a_run_whose_owner_is_cut_off(self) -> None:
+        stop = fail_calls("stop", CallEffect.LOST, most=1)
+        cut = Cut(sender="agent-0", receiver="entry-0", at_s=0.5, for_s=3.0)
+        self.check(cut, *stop, runs=(LONG_S, LONG_S))
+
+    def test_a_lost_stop_of_a_run_whose_owner_is_dead(self) -> None:
+        stop = fail_calls("stop", CallEffect.LOST, most=1)
+        self.check(Kill(process="entry-0", at_s=0.5, for_s=0.3), *stop)
+
+    def test_stops_that_are_all_carried_out_late(self) -> None:
+        stop = fail_calls("stop", CallEffect.DONE_LATE, delay_s=1.4)
+        self.check(HangUp(job=0, at_s=0.5), *stop)
+
+    def test_stops_that_are_all_lost_beside_runs_that_go_on(self) -> None:
+        """The lease is the worker's, so that what else runs there must not keep the run alive."""
+        stop = fail_calls("stop", CallEffect.LOST, for_s=4.0)
+        two = tuple(JobPlan(at_s=0.0, run_s=(LONG_S, LONG_S)) for _ in range(2))
+        self.check(HangUp(job=0, at_s=0.5), *stop, jobs=two)
+
+    def test_all_stops_are_lost_after_an_agent_began_anew(self) -> None:
+        stop = fail_calls("stop", CallEffect.LOST, for_s=4.0)
+        kill = Kill(process="agent-0", at_s=0.5, for_s=0.2)
+        self.check(kill, *stop, runs=(LONG_S, LONG_S))
+
+
+class StandstillTests(OrdersTestCase):
+    """A process stands still between two steps of an order."""
+
+    def test_an_agent_stands_still_with_a_start_under_way(self) -> None:
+        freeze = Freeze(process="agent-1", at_s=AT_ONCE_S, for_s=1.9)
+        self.check(freeze, runs=(LONG_S,) * 4, cpu=2000)
+
+    def test_an_agent_stands_still_for_less_with_a_start_under_way(self) -> None:
+        freeze = Freeze(process="agent-1", at_s=AT_ONCE_S, for_s=1.7)
+        self.check(freeze, runs=(LONG_S,) * 4, cpu=2000)
+
+    def test_an_agent_stands_still_with_a_start_and_its_stop_under_way(self) -> None:
+        freezes = (Freeze(process=f"agent-{n}", at_s=0.0025, for_s=2.4 * n) for n in range(2))
+        self.check(HangUp(job=0, at_s=0.001), *freezes, runs=(LONG_S,) * 2, cpu=1000)
+
+    def test_an_agent_stands_still_with_an_unanswered_start(self) -> None:
+        start = fail_calls("start", CallEffect.LOST, most=1)
+        freeze = Freeze(process="agent-1", at_s=0.02, for_s=1.9)
+        self.check(freeze, *start, runs=(LONG_S,) * 4, cpu=2000)
+
+    def test_starts_wait_at_an_agent_that_stands_still(self) -> None:
+        freeze = Freeze(process="agent-1", at_s=-0.01, for_s=1.9)
+        self.check(freeze, runs=(LONG_S,) * 4, cpu=2000)
+
+    def test_a_stop_is_wished_while_the_start_is_unanswered(self) -> None:
+        for delay_s in (0.03, 0.2, 0.5, 1.5):
+            start = fail_calls("start", CallEffect.DONE_LATE, delay_s=delay_s)
+            self.check(HangUp(job=0, at_s=0.01), *start)
+
+
+class TriesTests(OrdersTestCase):
+    """A start is tried again, and the tries are answered differently."""
+
+    def check_tries(self, first: CallEffect, second: CallEffect, *, delay_s: float) -> None:
+        tries = (
+            *fail_calls("start", first, delay_s=delay_s, most=1),
+            *fail_calls("start", second, most=1, for_s=0.2),
+        )
+        self.check(*tries)
+
+    def test_a_try_is_carried_out_late_after_the_next_one_was_rejected(self) -> None:
+        self.check_tries(CallEffect.DONE_LATE, CallEffect.REJECTED, delay_s=0.3)
+
+    def test_a_try_is_carried_out_late_after_the_next_one_found_no_room(self) -> None:
+        self.check_tries(CallEffect.DONE_LATE, CallEffect.NO_ROOM, delay_s=0.3)
+
+    def test_a_try_was_carried_out_unanswered_before_the_next_one_was_rejected(self) -> None:
+        self.check_tries(CallEffect.DONE_UNANSWERED, CallEffect.REJECTED, delay_s=0.0)
+
+    def test_a_try_is_answered_late_after_the_next_one_was_rejected(self) -> None:
+        self.check_tries(CallEffect.ANSWERED_LATE, CallEffect.REJECTED, delay_s=0.2)
+
+    def test_tries_that_are_all_carried_out_late(self) -> None:
+        for delay_s in (0.3, 0.5, 0.58, 1.0, 2.0):
+            self.check(*fail_calls("start", CallEffect.DONE_LATE, delay_s=delay_s, for_s=0.5))
+
+
+class ClockTests(OrdersTestCase):
+    """A lease ends by the worker's clock, which an agent knows from the last answer only."""
+
+    def test_a_worker_falls_silent_after_a_start_with_a_clock_that_has_gone_slow(self) -> None:
+        holds = fail_calls("hold", CallEffect.LOST, at_s=0.01, for_s=2.0)
+        self.check(*holds, idle_s=IDLE_S, rates=SLOW_CLOCKS)
+
+    def test_a_worker_falls_silent_a_second_after_its_last_answer(self) -> None:
+        holds = fail_calls("hold", CallEffect.LOST, for_s=2.0)
+        self.check(*holds, rates=SLOW_CLOCKS)
+
+    def test_looks_are_carried_out_late_with_a_clock_that_has_gone_slow(self) -> None:
+        holds = fail_calls("hold", CallEffect.DONE_LATE, at_s=0.01, for_s=2.0, delay_s=0.5)
+        self.check(*holds, idle_s=IDLE_S, rates=SLOW_CLOCKS)
+
+    def test_an_agent_stands_still_after_a_start_with_a_clock_that_has_gone_slow(self) -> None:
+        for at_s in (0.004, 0.05, 0.3):
+            freeze = Freeze(process="agent-1", at_s=at_s, for_s=2.5)
+            self.check(freeze, runs=(LONG_S,) * 4, cpu=2000, idle_s=IDLE_S, rates=SLOW_CLOCKS)
+
+    def test_a_caller_hangs_up_as_its_agent_stands_still_with_a_slow_clock(self) -> None:
+        freezes = tuple(Freeze(process=f"agent-{n}", at_s=0.01, for_s=1.25) for n in range(2))
+        self.check(HangUp(job=0, at_s=0.02), *freezes, idle_s=IDLE_S, rates=SLOW_CLOCKS)
+
+
+class LinkTests(OrdersTestCase):
+    """A message is held on its way, and acted on when its time is over."""
+
+    def test_a_start_is_held_by_a_cut_until_its_job_runs_elsewhere(self) -> None:
+        cut = Cut(sender="entry-0", receiver="agent-0", at_s=-0.01, for_s=1.4, is_both_ways=False)
+        self.check(cut, HangUp(job=0, at_s=0.02), runs=(LONG_S,) * 4, cpu=2000)
+
+    def test_a_start_is_held_by_a_cut_both_ways(self) -> None:
+        cut = Cut(sender="entry-0", receiver="agent-0", at_s=-0.01, for_s=1.4)
+        self.check(cut, HangUp(job=0, at_s=0.02), runs=(LONG_S,) * 4, cpu=2000)
+
+    def test_a_start_is_held_by_a_cut_while_its_job_stays(self) -> None:
+        for for_s in (0.5, 1.0, 1.4, 1.8):
+            cut = Cut(sender="entry-0", receiver="agent-0", at_s=-0.01, for_s=for_s)
+            self.check(cut, runs=(LONG_S,) * 4, cpu=2000)
+
+    def test_an_end_is_held_by_a_cut_until_its_job_runs_again(self) -> None:
+        for at_s in (0.3, 0.5, 0.7):
+            cut = Cut(sender="agent-0", receiver="entry-0", at_s=at_s, for_s=1.4)
+            self.check(cut, HangUp(job=0, at_s=0.5), runs=(0.6, LONG_S, 0.6, LONG_S), cpu=2000)
+
+    def test_links_are_replaced_while_starts_are_under_way(self) -> None:
+        for at_s in (0.0003, 0.001, 0.002, 0.003):
+            drop = Drop(first="entry-0", second="agent-0", at_s=at_s)
+            self.check(drop, runs=(LONG_S,) * 4, cpu=2000)
+
+    def test_links_are_replaced_while_stops_are_under_way(self) -> None:
+        for at_s in (0.5003, 0.501, 0.502, 0.503):
+            drop = Drop(first="entry-0", second="agent-0", at_s=at_s)
+            self.check(drop, HangUp(job=0, at_s=0.5), runs=(LONG_S,) * 4, cpu=2000)
+
+
+class StrayTests(OrdersTestCase):
+    """An agent finds a run that it does not know while others go on."""
+
+    def test_what_else_runs_is_not_begun_anew(self) -> None:
+        """Of the short job one try is carried out late, after it was done elsewhere."""
+        tries = (
+            *fail_calls("start", CallEffect.DONE_LATE, at_s=0.9, delay_s=0.5, most=1),
+            *fail_calls("start", CallEffect.REJECTED, at_s=0.9, most=1, for_s=0.05),
+        )
+        jobs = (
+            JobPlan(at_s=0.0, run_s=(LONG_S, LONG_S)),
+            JobPlan(at_s=1.0, run_s=(0.3,)),
+        )
+        self.check(*tries, jobs=jobs)
--- a/tests/histories/worker.py
+++ b/tests/histories/worker.py
@@ -157,6 +157,10 @@
         if effect is CallEffect.REJECTED:
             _answer(end, 503, ClockAnswer())
             return
+        if effect is CallEffect.NO_ROOM and not self._is_there(call):
+            reason = self._renew(call) or "room"
+            self._answer_soon(end, 409, self._make_answer(reason), effect=None, delay_s=0.0)
+            return
         if effect is CallEffect.DONE_LATE:
             self._carry_out_later(kind, call, delay_s)
             return
@@ -208,11 +212,15 @@
             reason = self._renew(call)
         return (409 if reason else 200), self._make_answer(reason)
 
+    def _is_there(self, call: dict[str, Any]) -> bool:
+        """Tell whether the run that a call names is going."""
+        active = self._runs.active.get(call["task"])
+        return active is not None and active.order.run == call["run"]
+
     def _start(self, call: dict[str, Any]) -> str:
         text = msgspec.json.decode(call["spec"], type=TaskText)
         task, run, now = call["task"], call["run"], self._now()
-        active = self._runs.active.get(task)
-        is_there = active is not None and active.order.run == run
+        is_there = self._is_there(call)
         position = int(task.rpartition(".")[2])
         order = Order(
             task=task,
@@ -223,10 +231,7 @@
         )
         if not is_there and not self._has_room(text.cpu):
             # Room is looked at last: a start that is refused for another reason says so.
-            trial = self._runs.hold(
-                fence=call["fence"], ends_seen=0, until_s=order.until_s, now=now
-            )
-            return trial or "room"
+            return self._renew(call) or "room"
         others = self.get_active().get(task)
         reason = self._runs.start(order, now=now)
         left_s = order.until_s - now
@@ -248,8 +253,7 @@
 
     def _stop(self, call: dict[str, Any]) -> str:
         task, run = call["task"], call["run"]
-        active = self._runs.active.get(task)
-        is_going = active is not None and active.order.run == run
+        is_going = self._is_there(call)
         self._note(self.name, f"stop of {task} run {run}{'' if is_going else ', not there'}")
         if not is_going:
             return self._runs.stop(task, run, call["fence"], now=self._now())
