--- /dev/null
+++ b/tests/histories/test_histories.py
@@ -0,0 +1,36 @@
+"""Histories of fixed seeds; ``python -m tests.histories`` plays others, and many more."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from tests.histories.draw import draw_history, play
+
+HISTORIES = 300
+"""Played in about 15 s."""
+LEAST_STARTS = 1000
+"""Runs that begin in these histories at least: a model in which little happens finds nothing."""
+LEAST_DONE = 150
+"""Jobs that are done in these histories at least."""
+
+
+class HistoriesTests(unittest.TestCase):
+    def test_no_promise_is_broken(self) -> None:
+        starts = 0
+        answers: Counter[str] = Counter()
+        broken = []
+        for seed in range(HISTORIES):
+            outcome = play(draw_history(seed))
+            starts += outcome.starts
+            answers.update(outcome.answers)
+            if outcome.broken:
+                broken.append(f"seed {seed}: {outcome.broken[0]}")
+        self.assertEqual([], broken)
+        self.assertGreater(starts, LEAST_STARTS)
+        self.assertGreater(answers["JobDone"], LEAST_DONE)
+
+    def test_a_seed_gives_the_same_history_each_time(self) -> None:
+        for seed in range(5):
+            history = draw_history(seed)
+            self.assertEqual(play(history).trace, play(history).trace)
