--- a/tests/histories/fleet.py
+++ b/tests/histories/fleet.py
@@ -353,7 +353,8 @@
             return
         host = self._hosts[caller.entry]
         if fault.is_heard and host.is_up:
-            host.take(lambda: host.process.leave(caller.job_id))
+            # In a later turn than what came before it: a submission's handler has begun by then.
+            host.take(lambda: host.loop.call_soon(host.process.leave, caller.job_id))
         self._submit_later(caller)
 
     def _submit_later(self, caller: ModelCaller) -> None:
--- a/tests/histories/test_orders.py
+++ b/tests/histories/test_orders.py
@@ -110,6 +110,13 @@
         kill = Kill(process="agent-0", at_s=0.5, for_s=0.2)
         self.check(kill, *stop, runs=(LONG_S, LONG_S))
 
+    def test_all_stops_are_lost_of_runs_that_an_agent_finds_as_it_begins(self) -> None:
+        """Its looks must not keep them alive: their owner believes that they lapse."""
+        stop = fail_calls("stop", CallEffect.LOST, for_s=4.0)
+        for agent in ("agent-0", "agent-1"):
+            kill = Kill(process=agent, at_s=0.3, for_s=0.1)
+            self.check(kill, *stop, runs=(LONG_S, LONG_S))
+
 
 class StandstillTests(OrdersTestCase):
     """A process stands still between two steps of an order."""
@@ -147,6 +154,30 @@
                 freeze = Freeze(process="entry-0", at_s=at_s, for_s=for_s)
                 self.check(freeze, HangUp(job=0, at_s=0.01), entries=2)
 
+    def test_a_submission_waits_at_an_entry_that_stands_still(self) -> None:
+        """Its caller gives up and submits it again, mostly to the other entry."""
+        freeze = Freeze(process="entry-0", at_s=-0.01, for_s=2.0)
+        for is_heard in (True, False):
+            self.check(freeze, HangUp(job=0, at_s=0.3, is_heard=is_heard), entries=2)
+
+    def test_news_of_room_waits_at_an_entry_that_stands_still(self) -> None:
+        """Tasks of its job wait for room that another entry's job frees meanwhile."""
+        jobs = (
+            JobPlan(at_s=0.1, run_s=(LONG_S,) * 8),
+            JobPlan(at_s=0.0, run_s=(0.8,) * 4, entry=1),
+        )
+        freeze = Freeze(process="entry-0", at_s=0.3, for_s=2.2)
+        for is_heard in (True, False):
+            hang_up = HangUp(job=0, at_s=0.31, is_heard=is_heard)
+            self.check(freeze, hang_up, jobs=jobs, entries=2)
+
+    def test_an_id_is_yielded_while_starts_are_unanswered(self) -> None:
+        """The entry that is asked for it has tasks that were placed just then."""
+        start = fail_calls("start", CallEffect.DONE_LATE, at_s=0.9, for_s=0.45, delay_s=0.5)
+        stop = fail_calls("stop", CallEffect.LOST, at_s=1.2, for_s=0.6)
+        hang_up = HangUp(job=0, at_s=0.02, is_heard=False)
+        self.check(hang_up, *start, *stop, runs=(0.3,) * 40, entries=2)
+
     def test_a_stop_is_wished_while_the_start_is_unanswered(self) -> None:
         for delay_s in (0.03, 0.2, 0.5, 1.5):
             start = fail_calls("start", CallEffect.DONE_LATE, delay_s=delay_s, for_s=1.0)
@@ -204,6 +235,11 @@
         freezes = tuple(Freeze(process=f"agent-{n}", at_s=0.01, for_s=1.25) for n in range(2))
         self.check(HangUp(job=0, at_s=0.02), *freezes, idle_s=IDLE_S, rates=SLOW_CLOCKS)
 
+    def test_tries_are_carried_out_after_their_lease_by_a_clock_that_has_gone_slow(self) -> None:
+        start = fail_calls("start", CallEffect.DONE_LATE, for_s=0.2, delay_s=0.8)
+        stop = fail_calls("stop", CallEffect.LOST, for_s=1.5)
+        self.check(*start, *stop, idle_s=IDLE_S, rates=SLOW_CLOCKS)
+
 
 class LinkTests(OrdersTestCase):
     """A message is held on its way, and acted on when its time is over."""
