--- a/tests/histories/test_orders.py
+++ b/tests/histories/test_orders.py
@@ -42,12 +42,18 @@
 class OrdersTestCase(unittest.TestCase):
     """Plays one history with several seeds."""
 
-    def check(self, *faults: Fault, runs: tuple[float, ...] = (LONG_S,), **fields: object) -> None:
+    def check(
+        self,
+        *faults: Fault,
+        runs: tuple[float, ...] = (LONG_S,),
+        plays: int = PLAYS,
+        **fields: object,
+    ) -> None:
         """Check that no play breaks a promise, and that tasks do start."""
         jobs = (JobPlan(at_s=0.0, run_s=runs),)
         drawn = History(seed=0, jobs=jobs, faults=faults)
         starts = 0
-        for seed in range(PLAYS):
+        for seed in range(plays):
             history = replace(drawn, **{**fields, "seed": seed})  # type: ignore[arg-type]
             outcome = play(history)
             self.assertEqual([], outcome.broken, "\n".join(outcome.trace))
@@ -158,7 +164,8 @@
         """Its caller gives up and submits it again, mostly to the other entry."""
         freeze = Freeze(process="entry-0", at_s=-0.01, for_s=2.0)
         for is_heard in (True, False):
-            self.check(freeze, HangUp(job=0, at_s=0.3, is_heard=is_heard), entries=2)
+            hang_up = HangUp(job=0, at_s=0.3, is_heard=is_heard)
+            self.check(freeze, hang_up, entries=2, plays=3 * PLAYS)
 
     def test_news_of_room_waits_at_an_entry_that_stands_still(self) -> None:
         """Tasks of its job wait for room that another entry's job frees meanwhile."""
@@ -236,9 +243,10 @@
         self.check(HangUp(job=0, at_s=0.02), *freezes, idle_s=IDLE_S, rates=SLOW_CLOCKS)
 
     def test_tries_are_carried_out_after_their_lease_by_a_clock_that_has_gone_slow(self) -> None:
-        start = fail_calls("start", CallEffect.DONE_LATE, for_s=0.2, delay_s=0.8)
         stop = fail_calls("stop", CallEffect.LOST, for_s=1.5)
-        self.check(*start, *stop, idle_s=IDLE_S, rates=SLOW_CLOCKS)
+        for delay_s in (0.8, 0.95, 1.05):
+            start = fail_calls("start", CallEffect.DONE_LATE, for_s=0.2, delay_s=delay_s)
+            self.check(*start, *stop, idle_s=IDLE_S, rates=SLOW_CLOCKS)
 
 
 class LinkTests(OrdersTestCase):
