--- a/tests/histories/draw.py
+++ b/tests/histories/draw.py
@@ -163,7 +163,10 @@
             process = rng.choice((agent, agent, agent, entry, entry, f"worker-{worker}"))
             return Freeze(process=process, at_s=at_s, for_s=for_s)
         case "cut":
-            sender, receiver = rng.choice(((entry, agent), (agent, entry)))
+            ways = [(entry, agent), (agent, entry)] * 2
+            if history.entries > 1:
+                ways.append(("entry-0", "entry-1"))
+            sender, receiver = rng.choice(ways)
             is_both_ways = rng.random() < 0.5
             return Cut(
                 sender=sender,
--- a/tests/histories/test_orders.py
+++ b/tests/histories/test_orders.py
@@ -280,6 +280,17 @@
             drop = Drop(first="entry-0", second="agent-0", at_s=at_s)
             self.check(drop, HangUp(job=0, at_s=0.5), runs=(LONG_S,) * 4, cpu=2000)
 
+    def test_entries_lose_each_other_while_agents_hear_both(self) -> None:
+        """A caller whose connection ended unheard goes to the other entry."""
+        cut = Cut(sender="entry-0", receiver="entry-1", at_s=0.1, for_s=5.0)
+        hang_up = HangUp(job=0, at_s=0.3, is_heard=False)
+        self.check(cut, hang_up, entries=2, plays=2 * PLAYS)
+
+    def test_entries_lose_each_other_for_less_than_claims_last(self) -> None:
+        cut = Cut(sender="entry-0", receiver="entry-1", at_s=0.9, for_s=1.0)
+        hang_up = HangUp(job=0, at_s=0.3, is_heard=False)
+        self.check(cut, hang_up, entries=2, plays=2 * PLAYS)
+
 
 class StrayTests(OrdersTestCase):
     """An agent finds a run that it does not know while others go on."""
