--- a/dalemast/fleet/entry/claims.py
+++ b/dalemast/fleet/entry/claims.py
@@ -198,6 +198,14 @@
             if question.session is session and not question.answer.done():
                 question.answer.set_result(None)
 
+    def note_standstill(self) -> None:
+        """Begin anew after this process stood still: it has to meet the others before it grants.
+
+        They may have given it up and granted its ids, and one that it reaches none of would grant
+        to itself.
+        """
+        self._started_at = time.monotonic()
+
     def move_all(self) -> None:
         """Tell the keepers of this entry's claims anew after the entries in reach have changed."""
         for job_id in self._jobs.get_claimed_ids():
