--- a/dalemast/fleet/timing.py
+++ b/dalemast/fleet/timing.py
@@ -2,9 +2,9 @@
 
 A caller that lost its connection sends its job again after a while, to any entry. Whatever the
 first entry started must have ended by then, also when that entry or an agent is dead, frozen or cut
-off. The longest chain: the owner's last word, the agent's patience with a silent owner, the lease
-of a worker whose agent fell silent at that very moment, and the time a stop takes.
-docs/decisions/0009-fleet.md has the table.
+off. The longest chain: the owner's last word, as of when it was said, the agent's patience with a
+silent owner, and the lease that the agent asked its worker for at the end of that patience. No link
+of it rests on a message that arrives: docs/decisions/0011-bounds.md has the table.
 """
 
 from __future__ import annotations
