--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -59,7 +59,8 @@
         "stretch": 1.6,
         "slo_ms": 500,
     }
-    return {"version": version, "routes": [{**row, **route}]}
+    routes = [{**row, **route}]
+    return {"version": version, "routes": routes, "services": [{"name": SERVICE}], "limits": {}}
 
 
 def make_body(*, text: str = "", count: int = 1, **step: Any) -> dict[str, Any]:
@@ -297,11 +298,12 @@
     async def _make_agent(
         self, number: int, worker: EmulatedWorker, reports: str
     ) -> FleetAgentSettings:
+        worker.advertised = await self._front(worker.address)
         return FleetAgentSettings(
             name=f"agent-{number}",
             data_centre=self._get_data_centre(number),
             registration=ListenerSettings(address=reports),
-            worker=AddressSettings(address=await self._front(worker.address)),
+            worker=AddressSettings(address=worker.advertised),
             metrics=ListenerSettings(address="127.0.0.1:0"),
             store=AddressSettings(address=self._store_address),
             seeds=tuple(s.advertised for s in self.entry_settings[:1]),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,6 +16,7 @@
 from tests.soak.proxy import Proxy
 from tests.soak.report import Report
 from tests.soak.trace import Trace
+from tests.soak.writer import ForeignWriter
 
 CALM_S = 25.0
 """Longest time after the last fault until every entry serves again."""
@@ -55,7 +56,9 @@
             calling = [asyncio.create_task(caller.run()) for caller in callers]
             watch = asyncio.create_task(self._watch_versions())
             evacuations = asyncio.create_task(self._evacuate_now_and_then())
-            await asyncio.gather(self._strike_for(seconds), self._orders.strike_for(seconds))
+            seed, broken = self._report.seed, self._report.broken
+            async with ForeignWriter(cluster=cluster, seed=seed, broken=broken):
+                await asyncio.gather(self._strike_for(seconds), self._orders.strike_for(seconds))
             evacuations.cancel()
             cluster.take_back()
             await self._wait_for_calm("after the faults")
