--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,7 @@
 on with its tries at starts, with leases from the present.
 106164 and 227739, likewise: tests/fleet/test_strays.py.
 416675, likewise: a start that a cut had held up was acted on after its entry had been killed.
+817283, likewise: an entry that had stood still granted itself an id before it met its peers again.
 """
 SECONDS = 6.0
 
