Compare an agent's runs by the news that lists them, and doubt a clock that has lost time

Cause: found by reading on. An entry's word that it has compared the runs could answer earlier news of the worker than the last; starts under way between the two count as over at the entry. On a host that was suspended the steady clock loses time, so that words which waited would look younger than they are. Change: the news of a worker is numbered and the answer names the number; a link whose words seem to come from the future is given up, and its clocks are compared anew. Ruled out: the clock that goes on in suspension, since a virtual host's stops with it.

--- a/dalemast/fleet/agent/owner_sessions.py
+++ b/dalemast/fleet/agent/owner_sessions.py
@@ -8,7 +8,7 @@
 from dalemast.core.clocks import LeastLead
 from dalemast.core.supervision import RoomAudience
 from dalemast.fleet.base import Member
-from dalemast.fleet.frames import ClockAnswer, ClockAsk, EntryMessage, Said
+from dalemast.fleet.frames import ClockAnswer, ClockAsk, EntryMessage, Reconciled, Said
 from dalemast.fleet.links import Link
 from dalemast.fleet.timing import STEADY_CLOCK_DRIFT
 
@@ -44,6 +44,8 @@
         self._lead = LeastLead(drift=STEADY_CLOCK_DRIFT)
         """This clock against the entry's."""
         self._said_ms = 0
+        self._news = 0
+        """How often the entry was told of the worker."""
         self._links = links
 
     @property
@@ -58,6 +60,16 @@
             return float("-inf")
         return self._said_ms / 1000 + self._lead.get(now=time.monotonic())
 
+    def begin_news(self) -> int:
+        """Begin to tell the entry of the worker anew; return the number of this news."""
+        self.is_reconciled = False
+        self._news += 1
+        return self._news
+
+    def note_reconciled(self, answer: Reconciled) -> None:
+        """Note that the entry has compared its runs, unless it was told anew meanwhile."""
+        self.is_reconciled = answer.number == self._news
+
     def ask_clock(self) -> None:
         """Ask how the entry's clock goes."""
         self.clock_asked_at = time.monotonic()
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -114,6 +114,12 @@
             return
         for message in messages:
             self._take(session, message)
+        if session.said_at > time.monotonic():
+            # This host's clock has lost time, as in a suspended one: no age of a word is known.
+            log_event("link:clock-lost-time", entry=session.owner)
+            session.link.reset()
+            self.end_session(session)
+            return
         # After the stops of this frame, which it does not keep alive.
         self._supervisor.hear(session.owner, said_at=session.said_at)
 
@@ -209,7 +215,7 @@
             case MemberNews():
                 self._book.learn(to_member(row) for row in message.members)
             case Reconciled():
-                session.is_reconciled = True
+                session.note_reconciled(message)
             case Starts():
                 self._take_starts(session, message)
             case Stop():
--- a/dalemast/fleet/agent/reports.py
+++ b/dalemast/fleet/agent/reports.py
@@ -137,10 +137,12 @@
 
     def _tell_worker(self, session: OwnerSession) -> None:
         """Tell an entry of the worker, and which of its runs are there."""
-        session.is_reconciled = False
+        number = session.begin_news()
         life = self._supervisor.life
         if life is None or not self._supervisor.has_settled:
-            news = WorkerNews(id="", service="", cpu=0, memory_mb=0, gpu=0, labels=())
+            news = WorkerNews(
+                id="", service="", cpu=0, memory_mb=0, gpu=0, labels=(), number=number
+            )
             session.link.send(news)
             return
         runs = self._supervisor.get_owner_runs(session.owner)
@@ -152,5 +154,6 @@
             gpu=life.capacity.gpu,
             labels=tuple(sorted(life.labels)),
             runs=tuple(to_row(run_id) for run_id in runs),
+            number=number,
         )
         session.link.send(news)
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -226,7 +226,7 @@
             return
         if news.id and news.id == session.worker:
             # Told twice; the stops that followed from the first time are on their way.
-            session.link.send(Reconciled())
+            session.link.send(Reconciled(number=news.number))
             return
         self._drop_worker(session)
         if not news.id:
@@ -250,7 +250,7 @@
         # Between the stops and the starts: the agent takes no start before, since one that was
         # under way as it told of its runs is missing there and counts as over here.
         self._apply([action for action in actions if isinstance(action, StopTask)])
-        session.link.send(Reconciled())
+        session.link.send(Reconciled(number=news.number))
         self._apply([action for action in actions if not isinstance(action, StopTask)])
 
     def _drop_worker(self, session: AgentSession) -> None:
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -178,11 +178,13 @@
 
 
 class Reconciled(Message, frozen=True, tag="o"):
-    """The entry has compared the runs that ``WorkerNews`` lists with its jobs.
+    """The entry has compared the runs that the ``WorkerNews`` of this number lists with its jobs.
 
     It has told by now which ones to stop, and its words keep the others alive from here on.
     """
 
+    number: int
+
 
 class AgentHello(Message, frozen=True, tag="H"):
     """An agent's first message."""
@@ -195,7 +197,8 @@
 class WorkerNews(Message, frozen=True, tag="W"):
     """The worker's life; an empty ``id`` says that there is none.
 
-    ``runs`` are those of this owner that are there now; any other one is over.
+    ``runs`` are those of this owner that are there now; any other one is over. ``number`` counts
+    this news on a link.
     """
 
     id: str
@@ -205,6 +208,7 @@
     gpu: int
     labels: tuple[str, ...]
     runs: tuple[RunRow, ...] = ()
+    number: int = 0
 
 
 class RoomNews(Message, frozen=True, tag="R"):
--- a/tests/fleet/test_said.py
+++ b/tests/fleet/test_said.py
@@ -16,7 +16,15 @@
 from dalemast.core.supervision import RunId
 from dalemast.core.workloads import TaskKey
 from dalemast.fleet.agent.owner_sessions import OwnerSession
-from dalemast.fleet.frames import ClockAnswer, ClockAsk, RunEnded, Said, StartRow, Starts
+from dalemast.fleet.frames import (
+    ClockAnswer,
+    ClockAsk,
+    Reconciled,
+    RunEnded,
+    Said,
+    StartRow,
+    Starts,
+)
 from tests.base import AsyncTestCase, wait_until
 from tests.fleet.base import LocalFleet, make_text, settle
 
@@ -54,6 +62,15 @@
         self.session.is_reconciled = False
         self.assertEqual(float("inf"), self.say(ago_s=0.0))
 
+    def test_an_answer_to_earlier_news_of_the_worker_is_not_one_to_the_newest(self) -> None:
+        """Starts that were under way meanwhile count as over at an entry that compares it next."""
+        self.ask(way_s=0.0)
+        first, second = self.session.begin_news(), self.session.begin_news()
+        self.session.note_reconciled(Reconciled(number=first))
+        self.assertEqual(float("inf"), self.say(ago_s=0.0))
+        self.session.note_reconciled(Reconciled(number=second))
+        self.assertLess(self.say(ago_s=0.0), 0.02)
+
     def test_the_age_is_at_least_the_true_one_and_at_most_the_questions_way_more(self) -> None:
         self.ask(way_s=0.1)
         for ago_s in (0.0, 0.3, 2.0):
@@ -83,6 +100,19 @@
 
         self.run_async(run())
 
+    def test_a_link_whose_words_seem_to_come_from_the_future_is_given_up(self) -> None:
+        """The agent's host was suspended and its clock with it; what waited would look young."""
+
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                owners = fleet.agents[0]._owners
+                (session,) = owners._sessions.values()
+                session.receive([Said(at_ms=session._said_ms + 60_000)])
+                self.assertFalse(session.link.is_open)
+                await wait_until(lambda: len(owners) == 1, "a link to be open again")
+
+        self.run_async(run())
+
     def test_words_that_waited_keep_no_run_alive(self) -> None:
         async def run() -> None:
             async with LocalFleet(entries=1, workers=1) as fleet:
