Split the words of owners, slow runs and ending jobs off the large modules

Change: core/supervision/words.py and slow.py, fleet/entry/endings.py; the desk's check for a standstill is no longer optional. No behaviour changed.

--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -22,7 +22,6 @@
     OrderStop,
     ReportEnd,
     ReportRoom,
-    ReportSlow,
 )
 from dalemast.core.supervision.base import (
     EndedRun,
@@ -35,16 +34,13 @@
 from dalemast.core.supervision.health import WorkerHealth
 from dalemast.core.supervision.leases import LEAST_LEASE_SHARE
 from dalemast.core.supervision.lives import WorkerLives
-from dalemast.core.supervision.runs import MIN_AGE_S, Run, RunPhase, get_sure_pace
+from dalemast.core.supervision.runs import Run, RunPhase, get_sure_pace
+from dalemast.core.supervision.slow import judge_run
+from dalemast.core.supervision.words import OwnerWords
 from dalemast.core.workloads import Resources
 
 __all__ = ["Supervisor", "SupervisorLimits"]
 
-SLOW_FACTOR = 1.8
-"""How much longer than expected a run must be heading for before it is reported. Expected times
-are off by about 40 %, and workers differ by 1.25. The owner judges what to do."""
-SLOW_REPEAT_S = 0.3
-"""Pause between two reports on one run."""
 STOP_MARGIN_S = 0.03
 """Added to the time of a stop for the worker's clock and the way of its answer."""
 GONE_AFTER_S = 0.25
@@ -78,8 +74,7 @@
         an agent's processor time."""
         self._strays: set[RunId] = set()
         self._health = WorkerHealth()
-        self._kept_until: dict[str, float] = {}
-        """By owner, until when its latest word keeps its runs alive."""
+        self._words = OwnerWords(patience_s=limits.owner_patience_s)
         self._has_looked = False
         self._has_settled = False
 
@@ -153,8 +148,7 @@
         """
         if not self.is_settled:
             return float("-inf")
-        kept = (self._get_kept_until(run) for run in self._runs.values())
-        return min(kept, default=float("inf")) + self._limits.lease_s
+        return self._words.get_first_end(self._runs.values()) + self._limits.lease_s
 
     def get_order_limit(self, run_id: RunId) -> float:
         """Return the same for a start; minus infinity once the run is not wanted any more."""
@@ -217,8 +211,7 @@
         known = self._runs.get(request.run_id)
         if known is not None and known.request.is_same(request):
             return []
-        is_late = now - request.said_at > self._limits.owner_patience_s
-        if known is not None or is_late:
+        if known is not None or self._words.is_too_old(request.said_at, now=now):
             # A run of this name is one of the job's earlier submission, which is about to end.
             return [self._refuse(request, EndReason.NOT_TAKEN), ReportRoom()]
         self.hear(request.owner, said_at=request.said_at)
@@ -317,8 +310,7 @@
 
     def hear(self, owner: str, *, said_at: float) -> None:
         """Note that an owner keeps its runs alive, but for those that were told to stop."""
-        kept_until = said_at + self._limits.owner_patience_s
-        self._kept_until[owner] = max(kept_until, self._kept_until.get(owner, kept_until))
+        self._words.hear(owner, said_at=said_at)
 
     def get_owner_runs(self, owner: str) -> list[RunId]:
         """Return the runs of one owner."""
@@ -331,7 +323,7 @@
             if run.barred_at is not None and now >= run.barred_at and not run.was_listed:
                 actions += self._end(run, EndReason.STOPPED, now)
         for run in self._runs.values():
-            if run.phase is not RunPhase.STOPPING and now > self._get_kept_until(run):
+            if run.phase is not RunPhase.STOPPING and now > self._words.get_kept_until(run):
                 actions.append(self._begin_stop(run, now))
         return actions
 
@@ -343,15 +335,9 @@
             if run.stopping_since is not None and now - run.stopping_since > older_than_s
         ]
 
-    def _get_kept_until(self, run: Run) -> float:
-        """Return until when a run's owner keeps it alive."""
-        if run.kept_until is not None:
-            return run.kept_until
-        return self._kept_until.get(run.request.owner, float("-inf"))
-
     def _begin_stop(self, run: Run, now: float) -> OrderStop:
         """Tell a run to stop. From now on its owner's words keep it alive no longer."""
-        run.kept_until = self._get_kept_until(run)
+        run.kept_until = self._words.get_kept_until(run)
         run.phase = RunPhase.STOPPING
         run.stopping_since = now
         return OrderStop(run_id=run.request.run_id)
@@ -371,26 +357,12 @@
         return []
 
     def _judge_pace(self, run: Run, now: float) -> list[Action]:
-        age_s = now - run.started_at
-        if now - run.reported_at < SLOW_REPEAT_S or age_s < MIN_AGE_S:
-            return []
-        is_stalled = run.is_stalled(now)
-        total_s = run.get_total_s()
-        if not is_stalled and total_s < SLOW_FACTOR * run.request.expected_s:
+        report = judge_run(run, get_worker_pace=self.get_pace, now=now)
+        if report is None:
             return []
-        run.reported_at = now
-        if is_stalled:
-            self._health.note_failed(run.request.run_id.job_id, now=now)
-        return [
-            ReportSlow(
-                owner=run.request.owner,
-                run_id=run.request.run_id,
-                age_s=age_s,
-                total_s=total_s,
-                worker_pace=self.get_pace(),
-                is_stalled=is_stalled,
-            )
-        ]
+        if report.is_stalled:
+            self._health.note_failed(report.run_id.job_id, now=now)
+        return [report]
 
     def _see_missing(self, run: Run, asked_at: float, now: float) -> list[Action]:
         if run.expires_at is not None:
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -21,6 +21,7 @@
 )
 from dalemast.core.workloads import JobRequest, TaskKey
 from dalemast.fleet.base import JobDone, JobDropped, JobOutcome, JobTurnedAway
+from dalemast.fleet.entry.endings import Endings
 from dalemast.fleet.frames import RunEnded
 from dalemast.fleet.timing import FleetTimes
 from dalemast.observability import Metrics, log_event
@@ -66,10 +67,6 @@
             self.answer.set_result(outcome)
 
 
-def _never() -> bool:
-    return False
-
-
 class JobDesk:
     """The open jobs of one entry.
 
@@ -84,7 +81,7 @@
         metrics: Metrics,
         send: Callable[[list[StartTask], list[StopTask]], None],
         ask: Callable[[AskRoom], None],
-        check_pause: Callable[[], bool] = _never,
+        check_pause: Callable[[], bool],
     ) -> None:
         self._scheduler = scheduler
         self._times = times
@@ -96,8 +93,7 @@
         self._ticked_at = time.monotonic()
         self._standstills = 0
         self._open: dict[str, OpenJob] = {}
-        self._ending: dict[str, dict[StopTask, float]] = {}
-        """By ended job, which of its runs are being stopped, and when each is surely over."""
+        self._endings = Endings(lost_run_s=times.lost_run_s, release=self._release)
 
     def __len__(self) -> int:
         return len(self._open)
@@ -108,16 +104,16 @@
 
     def get_open_ids(self) -> list[str]:
         """Return the ids that this entry was granted or is asking for."""
-        return [*self._open, *self._ending]
+        return [*self._open, *self._endings.job_ids]
 
     def get_claimed_ids(self) -> list[str]:
         """Return the ids that this entry was granted and has not released."""
         granted = [job_id for job_id, job in self._open.items() if job.is_submitted]
-        return [*granted, *self._ending]
+        return [*granted, *self._endings.job_ids]
 
     def has_open(self, job_id: str) -> bool:
         """Whether this entry was granted an id or is asking for it."""
-        return job_id in self._open or job_id in self._ending
+        return job_id in self._open or job_id in self._endings
 
     def is_live(self, job_id: str) -> bool:
         """Whether a job that was granted is being run here, and not being stopped."""
@@ -168,7 +164,7 @@
             starts = [start for start in starts if start.job.id in self._open]
         stops = [action for action in actions if isinstance(action, StopTask)]
         self._send(starts, stops)
-        self._prolong(stops)
+        self._endings.prolong(stops, now=time.monotonic())
         for action in actions:
             if isinstance(action, JobFinished):
                 self._finish(action, [stop for stop in stops if stop.job_id == action.job.id])
@@ -180,21 +176,15 @@
                 self._note_presumed_over(action)
 
     def note_end(self, news: RunEnded, worker: str) -> None:
-        """Note that a run has ended; the last one of an ended job frees its id.
-
-        Runs are told apart by worker, task and number. Ends of a job's other runs may come at any
-        time: an agent that was out of reach tells of them once it is back.
-        """
+        """Note that a run has ended; the last one of an ended job frees its id."""
         row = news.run
         key = TaskKey(row.step, row.position)
-        self._note_over(StopTask(worker=worker, job_id=row.job, task=key, run=row.run))
+        self._endings.note_over(StopTask(worker=worker, job_id=row.job, task=key, run=row.run))
 
     def tick(self, now: float) -> None:
         """Let time pass: free ids whose runs are surely over, and let the scheduler decide."""
         self._ticked_at = now
-        for runs in list(self._ending.values()):
-            for run in [run for run, over_at in runs.items() if now >= over_at]:
-                self._note_over(run)
+        self._endings.tick(now=now)
         self.apply(self._scheduler.tick(now=now))
         self._log_overdue(now)
 
@@ -250,7 +240,7 @@
         give_up_at = job.arrived_at + CLAIM_PATIENCE_S
         held_by = "this entry"
         while True:
-            if job.request.id not in self._ending:
+            if job.request.id not in self._endings:
                 standstills = self._standstills
                 result = await self._claims.claim(job.request.id)
                 if self._check_pause() or standstills != self._standstills:
@@ -281,12 +271,12 @@
         self._metrics.count(f"jobs.dropped.{cause.replace(' ', '-')}")
         job.resolve(JobDropped(cause=cause))
         if job.is_submitted:
-            self._end(job_id, stops)
+            self._endings.begin(job_id, stops, now=time.monotonic())
         # A room that was freed is used at the agent's next report.
 
     def _finish(self, action: JobFinished, stops: list[StopTask]) -> None:
         job = self._open.pop(action.job.id, None)
-        self._end(action.job.id, stops)
+        self._endings.begin(action.job.id, stops, now=time.monotonic())
         if job is None:
             return
         took_s = time.monotonic() - job.arrived_at
@@ -344,32 +334,6 @@
             lost_s=round(action.lost_s, 3),
         )
 
-    def _end(self, job_id: str, stops: list[StopTask]) -> None:
-        """Free a job's id, once its stops are confirmed or its runs have ended by themselves."""
-        if not stops:
-            self._release(job_id)
-            return
-        over_at = time.monotonic() + self._times.lost_run_s
-        self._ending[job_id] = dict.fromkeys(stops, over_at)
-
-    def _prolong(self, stops: list[StopTask]) -> None:
-        """Wait anew for runs of ended jobs that an agent lists still: they are stopped by now only.
-
-        Any word of this entry to that agent has prolonged them meanwhile.
-        """
-        over_at = time.monotonic() + self._times.lost_run_s
-        for stop in stops:
-            if stop.job_id in self._ending:
-                self._ending[stop.job_id][stop] = over_at
-
-    def _note_over(self, run: StopTask) -> None:
-        """Take a run off those that are being stopped; the last one frees the id."""
-        runs = self._ending.get(run.job_id, {})
-        if runs.pop(run, None) is None or runs:
-            return
-        del self._ending[run.job_id]
-        self._release(run.job_id)
-
     def _release_unless_reused(self, job_id: str) -> None:
         """Free an id that was claimed for a caller that has left meanwhile.
 
