Reproduce what is taken as over, as compared or as not begun without being told so: seven tests that fail

A worker's word that it ends, an answer for an earlier life, a failure of the host's own to open a connection, and clocks that part by more than assumed.

--- a/tests/core/test_clocks.py
+++ b/tests/core/test_clocks.py
@@ -37,3 +37,14 @@
         lead.show(10.0, now=0.0)
         lead.show(9.0, now=1.0)
         self.assertAlmostEqual(10.0 - DRIFT, lead.get(now=1.0))
+
+    def test_clocks_that_part_faster_are_followed(self) -> None:
+        """Each of two hosts may be slewed by 0.0005, one forth and one back: by 0.001 together.
+
+        A lead that was shown long ago outvotes all later ones then, and errs by more each second.
+        """
+        lead = LeastLead(drift=0.0005)
+        for second in range(0, 3600, 5):
+            now = float(second)
+            lead.show(10.0 - 0.001 * now, now=now)
+        self.assertLess(lead.get(now=now) - (10.0 - 0.001 * now), 0.06)
--- /dev/null
+++ b/tests/fleet/test_over_by_now.py
@@ -0,0 +1,66 @@
+"""What an agent takes as over, or as compared, without being told so."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import mock
+
+from dalemast.core.scheduling import EndReason
+from dalemast.fleet.frames import Reconciled, RunEnded, Said
+from tests.base import AsyncTestCase, wait_until
+from tests.fleet.base import LocalFleet, make_text, settle
+from tests.fleet.test_bounds import Overlaps
+from tests.fleet.test_said import make_starts
+
+JOB = "00000000000000d{:x}"
+
+
+class LeavingTests(AsyncTestCase):
+    def test_a_worker_that_says_that_it_ends_may_run_on(self) -> None:
+        """Without an acknowledgement it ends only seconds later: until then its lease bounds it."""
+
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=2) as fleet:
+                overlaps = Overlaps(fleet.workers)
+                job_id = JOB.format(1)
+                job = asyncio.create_task(fleet.submit(job_id, text=make_text(2.0)))
+                await wait_until(lambda: bool(fleet.get_running(job_id)), "it to run")
+                worker = next(w for w in fleet.workers if w.active_tasks)
+                agent = fleet.agents[fleet.workers.index(worker)]
+                agent._worker.lose_life(worker.life_id)
+                self.assertEqual(200, (await job).status)
+                self.assertEqual([], overlaps.found)
+
+        self.run_async(run())
+
+
+class ComparedTests(AsyncTestCase):
+    def test_what_was_compared_for_an_earlier_life_says_nothing_of_the_next(self) -> None:
+        """The answer to news of one life arrives after news of another: a start that comes with it
+        was meant for the first, and its owner will count it as lost with that one."""
+
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                agent, worker = fleet.agents[0], fleet.workers[0]
+                (session,) = agent._owners._sessions.values()
+                first = worker.life_id
+                # From here on the link is cut, with the answer to news of the first life under way.
+                with mock.patch.object(session.link, "send") as send:
+                    await worker.crash()
+                    worker.start()
+                    await wait_until(lambda: _has_settled(agent, first), "the next life")
+                    await settle()
+                    said = Said(at_ms=session._said_ms + 10_000)
+                    self.assertFalse(session.is_reconciled)
+                    session.receive([said, Reconciled(), make_starts(JOB.format(2))])
+                    await settle()
+                ends = [c.args[0] for c in send.call_args_list if isinstance(c.args[0], RunEnded)]
+                self.assertEqual([], fleet.get_started(JOB.format(2)))
+                self.assertEqual([EndReason.NOT_TAKEN], [end.reason for end in ends])
+
+        self.run_async(run())
+
+
+def _has_settled(agent: object, first: str) -> bool:
+    supervisor = agent._supervisor  # type: ignore[attr-defined]
+    return supervisor.life is not None and supervisor.life.id != first and supervisor.is_settled
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import errno
 from collections.abc import Callable
 from types import SimpleNamespace
+from unittest import mock
 
 import msgspec
 
@@ -43,7 +46,9 @@
     return LookPlan(wait_s=wait_s, slack_s=0.1, renews=renews)
 
 
-class DriverTests(AsyncTestCase):
+class DriverTestCase(AsyncTestCase):
+    """Plays a scenario with the adapter and a stand-in of a worker."""
+
     def play(self, scenario) -> None:
         async def run() -> None:
             worker = EmulatedWorker(
@@ -64,6 +69,8 @@
 
         self.run_async(run())
 
+
+class DriverTests(DriverTestCase):
     def test_a_run_is_listed_and_its_end_is_told_once(self) -> None:
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
             await driver.look(plan(wait_s=0.0, renews=False), limit=always())
@@ -242,3 +249,64 @@
         labels=frozenset(),
         is_leaving=False,
     )
+
+
+class DoubtTests(DriverTestCase):
+    """What must not be taken from an answer, or from none."""
+
+    def test_a_failure_of_this_hosts_own_does_not_say_that_the_worker_is_gone(self) -> None:
+        """Two such in a row end its life, and all its runs are placed again at once."""
+
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            loop = asyncio.get_running_loop()
+            for number in (errno.EMFILE, errno.ENOBUFS, errno.EHOSTUNREACH, errno.ETIMEDOUT):
+                failure = OSError(number, "no")
+                with mock.patch.object(loop, "create_connection", side_effect=failure):
+                    try:
+                        await driver.look(plan(wait_s=0.0, renews=False), limit=always())
+                    except WorkerUnanswered:
+                        continue
+                    except WorkerGone as error:
+                        self.fail(f"{errno.errorcode[number]}: {error!r}")
+
+        self.play(scenario)
+
+    def check_after_silence(self, status: int, reason: str) -> None:
+        """Check that a further try's answer says nothing of an earlier one without an answer.
+
+        That one may have been carried out, so that its run must not be told as never begun.
+        """
+
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            await driver.look(plan(wait_s=0.0, renews=True), limit=always())
+            body = msgspec.json.encode({"clock_ms": 1.0, "reason": reason})
+            silence = HttpFailure("no answer in time", is_unreachable=False)
+            answers = [silence, JsonResponse(status=status, body=body)]
+            with mock.patch.object(driver._orders, "request", side_effect=answers):
+                outcome = await driver.start(make_request(), get_limit=always)
+            self.assertIs(StartOutcome.UNANSWERED, outcome)
+
+        self.play(scenario)
+
+    def test_another_life_that_answers_a_further_try_does_not_say_that_none_was_done(self) -> None:
+        self.check_after_silence(421, "")
+
+    def test_a_further_try_that_is_too_late_does_not_say_that_none_was_done(self) -> None:
+        """The pages don't say that a worker looks for the run before it looks at the time."""
+        self.check_after_silence(409, "late")
+
+    def test_an_earlier_lifes_answer_says_nothing_of_the_present_one(self) -> None:
+        """Ends of the present life would be acknowledged unseen, and its lease counted by the
+        clock of another."""
+
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            await driver.look(plan(wait_s=0.0, renews=True), limit=always())
+            await driver.start(make_request(run_s=0.1), get_limit=always)
+            look = asyncio.create_task(driver.look(plan(wait_s=0.5, renews=True), limit=always()))
+            await asyncio.sleep(0.02)
+            driver.meet(make_life("i-next"))
+            with contextlib.suppress(WorkerUnanswered, WorkerReplaced):
+                await look
+            self.assertEqual((0, False), (driver._ends_seen, driver._clock.is_known))
+
+        self.play(scenario)
