Take nothing as over for a goodbye, an answer meant for another life, or a failure of one's own

What ran on a worker counted as over at its word that it ends, though it may run on for seconds; an answer too late or from another life was taken to say that an earlier try without an answer never ran; any failure to open a connection, the host's own lack of descriptors too, counted as a worker that is gone; an answer on its way for an earlier life was taken for the next one's; a clock that parts faster than assumed was outvoted by what it showed long ago. Change: each is mended. A worker that says that it ends gets no starts and no lease, and is looked at until it is gone. Leads of clocks count for 30 s once there are later ones; two hosts may part by 0.001. Ruled out: waiting for the goodbye's end by the clock alone, since a refusal tells sooner.

--- a/dalemast/core/clocks.py
+++ b/dalemast/core/clocks.py
@@ -2,8 +2,22 @@
 
 from __future__ import annotations
 
+from collections import deque
+from typing import NamedTuple
+
 __all__ = ["LeastLead"]
 
+REMEMBERED_S = 30.0
+"""How long a lead counts once there are later ones. Should the clocks part faster than assumed, one
+that was shown long ago would outvote all later ones, and err by more each second."""
+
+
+class ShownLead(NamedTuple):
+    """A lead that a message has shown, and when."""
+
+    lead_s: float
+    at: float
+
 
 class LeastLead:
     """The least by which one steady clock is ahead of another, in seconds.
@@ -15,22 +29,26 @@
 
     def __init__(self, *, drift: float) -> None:
         self._drift = drift
-        self._lead_s: float | None = None
-        self._shown_at = 0.0
+        self._shown: deque[ShownLead] = deque()
+        """The first is the greatest by now; each later one is the greatest of those after it."""
 
     @property
     def is_known(self) -> bool:
         """Whether anything has been shown yet."""
-        return self._lead_s is not None
+        return bool(self._shown)
 
     def show(self, lead_s: float, *, now: float) -> None:
         """Take in a lead that a message has shown."""
-        if self._lead_s is None or lead_s > self.get(now=now):
-            self._lead_s = lead_s
-            self._shown_at = now
+        while self._shown and self._count(self._shown[-1], now) <= lead_s:
+            self._shown.pop()
+        self._shown.append(ShownLead(lead_s, now))
+        while now - self._shown[0].at > REMEMBERED_S:
+            self._shown.popleft()
 
     def get(self, *, now: float) -> float:
         """Return the least lead; minus infinity before the first message."""
-        if self._lead_s is None:
-            return float("-inf")
-        return self._lead_s - self._drift * max(now - self._shown_at, 0.0)
+        return self._count(self._shown[0], now) if self._shown else float("-inf")
+
+    def _count(self, shown: ShownLead, now: float) -> float:
+        """Return what a lead that was shown comes to by now."""
+        return shown.lead_s - self._drift * max(now - shown.at, 0.0)
--- a/dalemast/core/supervision/acceptance.py
+++ b/dalemast/core/supervision/acceptance.py
@@ -13,6 +13,8 @@
     def __init__(self) -> None:
         self.is_draining = False
         """Whether the agent is about to stop."""
+        self.is_ending = False
+        """Whether the worker has said that it ends: nothing new, and no lease, for what is left."""
         self.is_silent = False
         """Whether the worker's last look stayed unanswered: a start would be lost with it."""
         self.evacuated: frozenset[str] = frozenset()
@@ -21,6 +23,6 @@
 
     def allows(self, life: WorkerLife) -> bool:
         """Tell whether nothing stands against starts on this life of the worker."""
-        if self.is_draining or self.is_silent or life.is_leaving:
+        if self.is_draining or self.is_ending or self.is_silent or life.is_leaving:
             return False
         return life.data_centre not in self.evacuated
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -96,7 +96,8 @@
     @property
     def has_work(self) -> bool:
         """Whether the worker has to be looked at: something runs, or nobody knows yet."""
-        if self._lives.claimant is not None or self._acceptance.is_silent:
+        acceptance = self._acceptance
+        if self._lives.claimant is not None or acceptance.is_silent or acceptance.is_ending:
             return True
         return bool(self._runs or self._strays or not self._has_looked)
 
@@ -146,7 +147,7 @@
 
         What this life of the agent does not know may have an owner that counts it as over.
         """
-        if not self.is_settled:
+        if not self.is_settled or self._acceptance.is_ending:
             return float("-inf")
         return self._words.get_first_end(self._runs.values()) + self._limits.lease_s
 
@@ -176,8 +177,9 @@
         ``is_over`` tells that this life can't come back: it said that it ends, or another life
         answers in its place. One that is only out of reach may report again.
         """
-        claimant = self._lives.lose(is_over=is_over)
+        claimant = self._lives.lose(is_over=is_over or self._acceptance.is_ending)
         self._strays.clear()
+        self._acceptance.is_ending = False
         self._acceptance.is_silent = False
         actions = [*self._end_all(), ReportRoom()]
         if claimant is not None:
@@ -185,11 +187,16 @@
         return actions
 
     def end_life(self, life_id: str) -> list[Action]:
-        """Take in a life's word that it ends."""
-        if self.life is not None and self.life.id == life_id:
-            return self.lose_life(is_over=True)
-        self._lives.bar(life_id)
-        return []
+        """Take in a life's word that it ends.
+
+        It may run on for some seconds, with what runs there: that is over once the worker refuses
+        connections or its lease, which is renewed no more, has lapsed.
+        """
+        if self.life is None or self.life.id != life_id:
+            self._lives.bar(life_id)
+            return []
+        self._acceptance.is_ending = True
+        return [ReportRoom()]
 
     def drain(self) -> list[Action]:
         """Take no more starts."""
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -43,7 +43,7 @@
 __all__ = ["OwnerLinks"]
 
 CLOCK_PAUSE_S = 5.0
-"""Pause between questions to an entry how its clock goes: in this time two clocks part by 2.5 ms at
+"""Pause between questions to an entry how its clock goes: in this time two clocks part by 5 ms at
 the most. The questions and answers stand for the beats of an idle link."""
 
 
--- a/dalemast/fleet/timing.py
+++ b/dalemast/fleet/timing.py
@@ -13,9 +13,9 @@
 
 __all__ = ["STEADY_CLOCK_DRIFT", "WORKER_CLOCK_ERROR", "FleetTimes"]
 
-STEADY_CLOCK_DRIFT = 0.0005
-"""Share by which the steady clocks of two hosts may go differently: the most by which systems slew
-them to keep the time of day."""
+STEADY_CLOCK_DRIFT = 0.001
+"""Share by which the steady clocks of two hosts may go differently: systems slew each by 0.0005 at
+the most to keep the time of day."""
 WORKER_CLOCK_ERROR = 0.02
 """A worker's clock may be slow by this share, so its leases last longer; from the platform."""
 
--- a/dalemast/http/direct.py
+++ b/dalemast/http/direct.py
@@ -112,7 +112,10 @@
             raise HttpFailure("no connection in time", is_unreachable=False) from error
         except OSError as error:
             self._drop_opening()
-            raise HttpFailure(f"no connection: {error}", is_unreachable=True) from error
+            # Only a refusal tells that nothing listens there; others are this host's own, or the
+            # network's.
+            is_refused = isinstance(error, ConnectionRefusedError)
+            raise HttpFailure(f"no connection: {error}", is_unreachable=is_refused) from error
         except asyncio.CancelledError:
             self._drop_opening()
             raise
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -57,9 +57,9 @@
     "late": StartOutcome.EXPIRED,
     "fence": StartOutcome.FENCED,
 }
-UNSURE_AFTER_SILENCE = frozenset({StartOutcome.NO_ROOM, StartOutcome.REJECTED})
-"""Answers that say nothing of an earlier try that got none: it may be carried out yet, once there
-is room or the worker is sound. All others bar it."""
+SURE_AFTER_SILENCE = frozenset({StartOutcome.RUNNING, StartOutcome.RUN_USED})
+"""Answers that tell what became of an earlier try that got none. Any other leaves open whether that
+one was carried out, or will be once there is room or the worker is sound."""
 END_REASONS = {"done": EndReason.DONE, "failed": EndReason.FAILED}
 """All other words (stopped, lapsed, broken, alone) say that the run did not come to its end."""
 
@@ -120,11 +120,12 @@
                 # Counted and logged by the caller once all tries are over.
                 is_fresh = True
                 continue
-            outcome = self._read_start(response)
-            if is_fresh and outcome in UNSURE_AFTER_SILENCE:
+            outcome = self._read_start(response, headers)
+            if outcome is StartOutcome.FENCED:
+                continue
+            if is_fresh and outcome not in SURE_AFTER_SILENCE:
                 return StartOutcome.UNANSWERED
-            if outcome is not StartOutcome.FENCED:
-                return outcome
+            return outcome
         return StartOutcome.UNANSWERED if is_fresh else StartOutcome.EXPIRED
 
     async def stop(self, run_id: RunId) -> bool:
@@ -144,6 +145,7 @@
     async def look(self, plan: LookPlan, *, limit: float) -> Look:
         """Ask what runs and what ended."""
         asked_at = time.monotonic()
+        headers = self._headers
         is_clock_known = self._clock.is_known
         lease_end = None
         if plan.renews and is_clock_known:
@@ -159,17 +161,19 @@
                 "POST",
                 LOOK_PATH,
                 body=call,
-                headers=self._headers,
+                headers=headers,
                 timeout_s=plan.wait_s + plan.slack_s,
             )
         except HttpFailure as failure:
             if failure.is_unreachable:
                 raise WorkerGone(failure.message) from failure
             raise WorkerUnanswered(failure.message) from failure
+        if headers is not self._headers:
+            raise WorkerUnanswered("the answer is an earlier life's")
         if response.status == WRONG_LIFE:
             raise WorkerReplaced("another life answers")
         if response.status != 200:
-            self._read_start(response)
+            self._read_start(response, headers)
             raise WorkerUnanswered(f"status {response.status}")
         return self._read_look(response, asked_at)
 
@@ -198,11 +202,12 @@
             return 0
         return int((at + self._clock.get(now=time.monotonic())) * 1000)
 
-    def _read_start(self, response: JsonResponse) -> StartOutcome:
+    def _read_start(self, response: JsonResponse, headers: dict[str, str]) -> StartOutcome:
         if response.status == WRONG_LIFE:
             return StartOutcome.WRONG_LIFE
         answer = _decode_clock(response)
-        self._follow_clock(answer.clock_ms)
+        if headers is self._headers:
+            self._follow_clock(answer.clock_ms)
         if response.status == 200:
             return StartOutcome.RUNNING
         if response.status == 409 and answer.reason == "fence":
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -322,9 +322,22 @@
 
     def test_a_life_that_deregistered_never_comes_back(self) -> None:
         self.supervisor.end_life("i-1")
+        self.supervisor.lose_life(is_over=False)
         self.supervisor.meet_life(make_life("i-1"), now=1.2)
         self.assertIsNone(self.supervisor.life)
 
+    def test_a_life_that_deregistered_is_over_only_once_it_is_gone(self) -> None:
+        """It may run on for seconds, and what runs there is placed again once it counts as over."""
+        run_id = self.run_task(make_start())
+        self.assertEqual([], pick(self.supervisor.end_life("i-1"), ReportEnd))
+        self.supervisor.meet_life(make_life("i-1"), now=1.2)
+        self.look(ListedRun(run_id, 50.0), now=1.2)
+        self.assertEqual(float("-inf"), self.supervisor.get_lease_limit())
+        self.assertFalse(self.supervisor.is_accepting(now=1.2))
+        self.assertTrue(self.supervisor.has_work)
+        (report,) = pick(self.supervisor.lose_life(is_over=False), ReportEnd)
+        self.assertEqual(run_id, report.run_id)
+
     def test_a_late_goodbye_of_an_earlier_life_ends_nothing(self) -> None:
         self.replace_life("i-2")
         run_id = self.run_task_after_look()
