--- a/tests/histories/__init__.py
+++ b/tests/histories/__init__.py
@@ -4,4 +4,20 @@
 clocks, connections, workers, the store and callers are modelled. So a history of some seconds plays
 in a few hundredths, a process can stand still while others go on, and the same seed gives the same
 history. ``python -m tests.histories --seeds 1000`` searches for one that breaks a promise.
+
+| module | has |
+|---|---|
+| base | histories, their faults, and what is found |
+| clock, network | virtual time, event loops, connections that faults hold, silence or reset |
+| worker, backends | the platform: workers as its pages describe them, the store, callers' ingress |
+| fleet | puts it together; ``ModelFleet.patch`` has all seams to the product |
+| draw | histories from seeds, and the shrinking of those that break a promise |
+| test_orders | orders of events that have a name; each is played with several small times |
+
+Promises that are checked: at each start no other run of the task is going on any worker; nothing of
+a job starts under a submission that was answered as refused; each task of a job that was answered
+as done has ended well once at least.
+
+Not modelled: processor time (a turn takes none), packets between a process and its own worker that
+get lost without their call, stops that a worker refuses, data centres, the store's faults.
 """
--- a/tests/histories/test_orders.py
+++ b/tests/histories/test_orders.py
@@ -167,6 +167,14 @@
             hang_up = HangUp(job=0, at_s=0.3, is_heard=is_heard)
             self.check(freeze, hang_up, entries=2, plays=5 * PLAYS)
 
+    def test_a_job_goes_to_an_entry_that_stands_still_while_it_runs(self) -> None:
+        """As it goes on, this entry has just lost the one that could say who runs the job."""
+        jobs = (JobPlan(at_s=0.0, run_s=(LONG_S,), entry=1),)
+        hang_up = HangUp(job=0, at_s=0.01, is_heard=False)
+        for for_s in (0.85, 0.81):
+            freeze = Freeze(process="entry-0", at_s=0.5, for_s=for_s)
+            self.check(freeze, hang_up, jobs=jobs, entries=2, plays=3 * PLAYS)
+
     def test_news_of_room_waits_at_an_entry_that_stands_still(self) -> None:
         """Tasks of its job wait for room that another entry's job frees meanwhile."""
         jobs = (
