--- a/tests/histories/test_orders.py
+++ b/tests/histories/test_orders.py
@@ -260,6 +260,17 @@
 class LinkTests(OrdersTestCase):
     """A message is held on its way, and acted on when its time is over."""
 
+    def test_news_of_two_lives_of_a_worker_arrive_together(self) -> None:
+        """The start that follows the first is taken as one for the second. Its owner counts it as
+        lost with the first, and another job's run there keeps the owner's words coming."""
+        jobs = (JobPlan(at_s=0.0, run_s=(LONG_S,)), JobPlan(at_s=1.5, run_s=(LONG_S,)))
+        crashes = (
+            Kill(process="worker-0", at_s=0.3, for_s=0.3),
+            Kill(process="worker-0", at_s=0.7, for_s=0.1),
+        )
+        cut = Cut(sender="entry-0", receiver="agent-0", at_s=0.45, for_s=0.7)
+        self.check(*crashes, cut, jobs=jobs, rates=(1.0,))
+
     def test_a_start_is_held_by_a_cut_until_its_job_runs_elsewhere(self) -> None:
         cut = Cut(sender="entry-0", receiver="agent-0", at_s=-0.01, for_s=1.4, is_both_ways=False)
         self.check(cut, HangUp(job=0, at_s=0.02), runs=(LONG_S,) * 4, cpu=2000)
