--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -264,10 +264,10 @@
             return []
         return self._end(run, EndReason.NO_ROOM, now)
 
-    def stop(self, run_id: RunId, *, now: float) -> list[Action]:
-        """Stop a run at its owner's wish."""
+    def stop(self, run_id: RunId, *, owner: str, now: float) -> list[Action]:
+        """Stop a run at its owner's wish; another owner may have one of the same name."""
         run = self._runs.get(run_id)
-        if run is None or run.phase is RunPhase.STOPPING:
+        if run is None or run.request.owner != owner or run.phase is RunPhase.STOPPING:
             return []
         return [self._begin_stop(run, now)]
 
--- a/dalemast/fleet/agent/owner_sessions.py
+++ b/dalemast/fleet/agent/owner_sessions.py
@@ -14,6 +14,13 @@
 
 __all__ = ["OwnerSession", "OwnerSessionKeeper"]
 
+CLOCK_PAUSE_S = 5.0
+"""Pause between questions to an entry how its clock goes: in this time two clocks part by 5 ms at
+the most. The questions and answers stand for the beats of an idle link."""
+FIRST_CLOCK_PAUSE_S = 0.5
+"""The same after a greeting, whose question may be slow on a host that is just starting: until the
+next one the entry's words look that much older than they are."""
+
 
 class OwnerSessionKeeper(Protocol):
     """Takes what happens on a link."""
@@ -41,6 +48,7 @@
         """The number of the last start that arrived on this link."""
         self.audience = RoomAudience()
         self.clock_asked_at = float("-inf")
+        self._clock_questions = 0
         self._lead = LeastLead(drift=STEADY_CLOCK_DRIFT)
         """This clock against the entry's."""
         self._said_ms = 0
@@ -60,6 +68,10 @@
             return float("-inf")
         return self._said_ms / 1000 + self._lead.get(now=time.monotonic())
 
+    def get_clock_pause_s(self) -> float:
+        """Return the pause after the last question how the entry's clock goes."""
+        return CLOCK_PAUSE_S if self._clock_questions > 1 else FIRST_CLOCK_PAUSE_S
+
     def begin_news(self) -> int:
         """Begin to tell the entry of the worker anew; return the number of this news."""
         self.is_reconciled = False
@@ -73,6 +85,7 @@
     def ask_clock(self) -> None:
         """Ask how the entry's clock goes."""
         self.clock_asked_at = time.monotonic()
+        self._clock_questions += 1
         self.link.send(ClockAsk(sent_at_ms=int(self.clock_asked_at * 1000)))
 
     def note_said(self, said: Said) -> None:
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -42,10 +42,6 @@
 
 __all__ = ["OwnerLinks"]
 
-CLOCK_PAUSE_S = 5.0
-"""Pause between questions to an entry how its clock goes: in this time two clocks part by 5 ms at
-the most. The questions and answers stand for the beats of an idle link."""
-
 
 class OwnerLinks:
     """All entries in reach of this agent."""
@@ -62,7 +58,7 @@
         evacuations: EvacuationsInForce,
         times: FleetTimes,
         start: Callable[[StartRequest], None],
-        stop: Callable[[RunId], None],
+        stop: Callable[[RunId, str], None],
         check_pause: Callable[[], bool],
     ) -> None:
         self._name = name
@@ -181,7 +177,7 @@
         for session in list(self._sessions.values()):
             is_busy = session.owner in busy
             pause_s = self._times.beat_s if is_busy else self._times.idle_beat_s
-            if now - session.clock_asked_at >= CLOCK_PAUSE_S:
+            if now - session.clock_asked_at >= session.get_clock_pause_s():
                 session.ask_clock()
             elif now - session.link.sent_at >= pause_s:
                 session.link.send(Beat())
@@ -220,7 +216,8 @@
                 self._take_starts(session, message)
             case Stop():
                 row = message.run
-                self._stop(RunId(row.job, TaskKey(row.step, row.position), row.run))
+                run_id = RunId(row.job, TaskKey(row.step, row.position), row.run)
+                self._stop(run_id, session.owner)
             case Wants():
                 self._reports.take_want(session, message.want, now=time.monotonic())
             case Beat() | Bye():
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -98,9 +98,9 @@
         """Take an owner's start."""
         self.apply(self._supervisor.start(request, now=time.monotonic()))
 
-    def stop(self, run_id: RunId) -> None:
+    def stop(self, run_id: RunId, owner: str) -> None:
         """Take an owner's stop."""
-        self.apply(self._supervisor.stop(run_id, now=time.monotonic()))
+        self.apply(self._supervisor.stop(run_id, owner=owner, now=time.monotonic()))
 
     def apply(self, actions: list[Action]) -> None:
         """Carry out what the supervisor decided."""
--- a/dalemast/fleet/timing.py
+++ b/dalemast/fleet/timing.py
@@ -11,13 +11,20 @@
 
 from dataclasses import dataclass
 
-__all__ = ["STEADY_CLOCK_DRIFT", "WORKER_CLOCK_ERROR", "FleetTimes"]
+__all__ = [
+    "STEADY_CLOCK_DRIFT",
+    "WORKER_CLOCK_ERROR",
+    "WORKER_CLOCK_STRETCH",
+    "FleetTimes",
+]
 
 STEADY_CLOCK_DRIFT = 0.001
 """Share by which the steady clocks of two hosts may go differently: systems slew each by 0.0005 at
 the most to keep the time of day."""
 WORKER_CLOCK_ERROR = 0.02
-"""A worker's clock may be slow by this share, so its leases last longer; from the platform."""
+"""A worker's clock may be slow by this share; from the platform."""
+WORKER_CLOCK_STRETCH = 1.0 / (1.0 - WORKER_CLOCK_ERROR)
+"""How many times as long a lease lasts on the slowest clock."""
 
 RESEND_SLACK_S = 0.05
 """What is left between the end of the chain and the soonest new submission."""
@@ -49,7 +56,7 @@
     @property
     def lost_run_s(self) -> float:
         """Return how long after its owner's last word a run may still be going."""
-        lease_s = self.lease_s * (1.0 + WORKER_CLOCK_ERROR)
+        lease_s = self.lease_s * WORKER_CLOCK_STRETCH
         return self.owner_patience_s + lease_s + self.stop_s + self.margin_s
 
     @classmethod
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -22,7 +22,7 @@
 )
 from dalemast.core.workloads import TaskKey
 from dalemast.fleet.base import BaseWorkerDriver, Look, WorkerGone, WorkerReplaced, WorkerUnanswered
-from dalemast.fleet.timing import WORKER_CLOCK_ERROR
+from dalemast.fleet.timing import WORKER_CLOCK_ERROR, WORKER_CLOCK_STRETCH
 from dalemast.http.direct import DirectClient
 from dalemast.http.messages import HttpFailure, JsonResponse
 from dalemast.observability import log_event
@@ -86,7 +86,7 @@
     @property
     def leased_until(self) -> float:
         """When everything on the worker has surely lapsed, by what was sent so far."""
-        return self._lease.ends_at + self._lease_s * WORKER_CLOCK_ERROR
+        return self._lease.ends_at + self._lease_s * (WORKER_CLOCK_STRETCH - 1.0)
 
     def meet(self, life: WorkerLife) -> None:
         """Address all further calls to this life."""
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -113,7 +113,7 @@
 
     def test_room_stays_taken_until_the_end_is_listed(self) -> None:
         run_id = self.run_task(make_start(cpu=4000))
-        self.supervisor.stop(run_id, now=1.0)
+        self.supervisor.stop(run_id, owner="o1", now=1.0)
         self.assertEqual(0, self.supervisor.get_free().cpu)
         self.look(ended=(EndedRun(1, run_id, EndReason.STOPPED),), now=1.1)
         self.assertEqual(4000, self.supervisor.get_free().cpu)
@@ -205,7 +205,7 @@
         super().setUp()
         self.request = make_start()
         self.start(self.request)
-        self.supervisor.stop(self.request.run_id, now=1.0)
+        self.supervisor.stop(self.request.run_id, owner="o1", now=1.0)
 
     def test_it_is_not_over_while_a_try_may_be_under_way(self) -> None:
         self.assertEqual([], pick(self.look(now=1.3), ReportEnd))
@@ -232,7 +232,7 @@
 
     def test_a_stop_without_effect_is_said_again(self) -> None:
         run_id = self.run_task(make_start())
-        self.supervisor.stop(run_id, now=1.0)
+        self.supervisor.stop(run_id, owner="o1", now=1.0)
         self.assertEqual([], self.supervisor.get_unstopped(now=1.05, older_than_s=0.15))
         self.assertEqual([run_id], self.supervisor.get_unstopped(now=1.3, older_than_s=0.15))
 
@@ -252,7 +252,7 @@
     def test_a_run_that_is_told_to_stop_is_kept_alive_no_longer(self) -> None:
         """Nor is the lease, for its sake: each stop may get lost, and it must end all the same."""
         run_id = self.run_task(make_start())
-        self.supervisor.stop(run_id, now=1.0)
+        self.supervisor.stop(run_id, owner="o1", now=1.0)
         self.supervisor.hear("o1", said_at=1.4)
         self.assertEqual(1.0 + PATIENCE_S + LEASE_S, self.supervisor.get_lease_limit())
         self.look(ended=(EndedRun(1, run_id, EndReason.STOPPED),), now=1.5)
@@ -264,7 +264,7 @@
         self.assertEqual(float("-inf"), self.supervisor.get_lease_limit())
 
     def test_a_worker_whose_lease_can_not_be_renewed_takes_no_starts(self) -> None:
-        self.supervisor.stop(self.run_task(make_start()), now=1.0)
+        self.supervisor.stop(self.run_task(make_start()), owner="o1", now=1.0)
         self.assertTrue(self.supervisor.is_accepting(now=1.7))
         self.assertFalse(self.supervisor.is_accepting(now=1.8))
 
@@ -272,13 +272,21 @@
         request = make_start()
         self.start(request)
         self.assertLess(1.0, self.supervisor.get_order_limit(request.run_id))
-        self.supervisor.stop(request.run_id, now=1.0)
+        self.supervisor.stop(request.run_id, owner="o1", now=1.0)
         self.assertEqual(float("-inf"), self.supervisor.get_order_limit(request.run_id))
 
+    def test_another_owners_stop_of_a_run_of_the_same_name_is_passed_over(self) -> None:
+        """Run numbers begin again when a job goes to another entry, and stops may be late."""
+        run_id = self.run_task(make_start())
+        self.assertEqual([], self.supervisor.stop(run_id, owner="o0", now=1.0))
+        self.assertEqual(
+            [OrderStop(run_id=run_id)], self.supervisor.stop(run_id, owner="o1", now=1.0)
+        )
+
     def test_a_stop_is_said_again_though_the_run_makes_progress(self) -> None:
         """A stop that gets lost says nothing of the run's progress, which went on for a second."""
         run_id = self.run_task(make_start())
-        self.supervisor.stop(run_id, now=1.0)
+        self.supervisor.stop(run_id, owner="o1", now=1.0)
         for number in range(8):
             now = 1.1 + 0.1 * number
             self.look(ListedRun(run_id, 2.0 + number), now=now)
--- a/tests/fleet/test_said.py
+++ b/tests/fleet/test_said.py
@@ -65,7 +65,9 @@
     def test_an_answer_to_earlier_news_of_the_worker_is_not_one_to_the_newest(self) -> None:
         """Starts that were under way meanwhile count as over at an entry that compares it next."""
         self.ask(way_s=0.0)
-        first, second = self.session.begin_news(), self.session.begin_news()
+        first = self.session.begin_news()
+        self.assertEqual(float("inf"), self.say(ago_s=0.0))
+        second = self.session.begin_news()
         self.session.note_reconciled(Reconciled(number=first))
         self.assertEqual(float("inf"), self.say(ago_s=0.0))
         self.session.note_reconciled(Reconciled(number=second))
