Let no test of the adapter hang on how long a look takes; write down what was verified

Change: the tests' looks may take 10 s; what they check is not about it. Ruled out: a fault of the client: a loop that is blocked for 0.15 s as the look begins gives the same failure with 0.1 s, and an answer with 10 s. The file's 17 tests pass.

--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -23,6 +23,9 @@
 from tests.fleet.base import find_address, make_text
 
 LEASE_S = 0.6
+SLACK_S = 10.0
+"""No test here is about how long a look takes. Worker and adapter share a loop, and on a crowded
+host it may stand still for longer than an agent would wait."""
 
 
 def make_request(job_id: str = "00000000000000aa", run: int = 1, run_s: float = 0.05):
@@ -43,7 +46,7 @@
 
 
 def plan(*, wait_s: float, renews: bool) -> LookPlan:
-    return LookPlan(wait_s=wait_s, slack_s=0.1, renews=renews)
+    return LookPlan(wait_s=wait_s, slack_s=SLACK_S, renews=renews)
 
 
 class DriverTestCase(AsyncTestCase):
