Reproduce entries that grant one id each beyond a cut: tests that fail

Symptom: a job runs at two entries that can't reach each other, though agents hear both, once its caller has left the first one unheard. The listed order is one of a family; here are nine of them, one in which no process hears both, and what must not be refused: an entry whose only peer is dead starts all of twelve jobs.

--- /dev/null
+++ b/tests/histories/test_cut_entries.py
@@ -0,0 +1,128 @@
+"""Entries that can't reach each other, while a caller that left one of them unheard asks another.
+
+A job runs for 9 s. Its caller loses the connection 0.3 s after the start, which its entry does not
+hear, and submits the job again 1.3 s later, to any entry. Meanwhile the entries are cut off from
+one another for 6 s. An entry that had lost all others granted itself each id: mostly they are down,
+and one that refused all ids would serve nobody. So both ran the job. In 24 plays of each order on
+that code a task ran twice in 8 to 15, and the log of the second entry had `peer:lost` of the first
+one before it ran the job, while each agent still had its link with the first one.
+
+What tells the two cases apart is known to the agents, which both entries dial: they hear an entry
+that lives, and they have lost one that is gone.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from tests.histories.base import Cut, Fault, Freeze, HangUp, History, JobPlan, Kill
+from tests.histories.draw import play
+from tests.histories.test_orders import OrdersTestCase
+
+RUN_S = 9.0
+CUT_AT_S = 0.1
+CUT_S = 6.0
+PLAYS = 24
+"""Enough that each of these orders came about in some, on the code without their mend in half."""
+UNHEARD = HangUp(job=0, at_s=0.3, is_heard=False)
+
+
+def cut(sender: str, receiver: str, *, is_both_ways: bool = True) -> Cut:
+    """Return a cut between two hosts that begins soon after the job does."""
+    return Cut(
+        sender=sender, receiver=receiver, at_s=CUT_AT_S, for_s=CUT_S, is_both_ways=is_both_ways
+    )
+
+
+class CutEntriesTestCase(OrdersTestCase):
+    def check_cut(self, *faults: Fault, entries: int = 2) -> None:
+        """Check that no play runs the job's task twice."""
+        self.check(*faults, UNHEARD, runs=(RUN_S,), entries=entries, plays=PLAYS, lasts_s=7.0)
+
+
+class CommonAgentsTests(CutEntriesTestCase):
+    """Some agent hears both."""
+
+    def test_two_entries_are_cut_off_from_each_other(self) -> None:
+        self.check_cut(cut("entry-0", "entry-1"))
+
+    def test_the_second_entry_does_not_hear_the_first(self) -> None:
+        self.check_cut(cut("entry-0", "entry-1", is_both_ways=False))
+
+    def test_the_first_entry_does_not_hear_the_second(self) -> None:
+        self.check_cut(cut("entry-1", "entry-0", is_both_ways=False))
+
+    def test_three_entries_are_cut_off_each_from_each(self) -> None:
+        cuts = [("entry-0", "entry-1"), ("entry-0", "entry-2"), ("entry-1", "entry-2")]
+        self.check_cut(*(cut(*pair) for pair in cuts), entries=3)
+
+    def test_two_entries_are_cut_off_and_the_third_is_killed(self) -> None:
+        kill = Kill(process="entry-2", at_s=CUT_AT_S, for_s=CUT_S)
+        self.check_cut(cut("entry-0", "entry-1"), kill, entries=3)
+
+    def test_two_entries_are_cut_off_and_one_agent_stands_still(self) -> None:
+        for agent in ("agent-0", "agent-1"):
+            freeze = Freeze(process=agent, at_s=0.2, for_s=1.0)
+            self.check_cut(cut("entry-0", "entry-1"), freeze)
+
+    def test_the_second_entry_begins_anew_beyond_the_cut(self) -> None:
+        kill = Kill(process="entry-1", at_s=0.2, for_s=0.4)
+        self.check_cut(cut("entry-0", "entry-1"), kill)
+
+    def test_both_entries_hear_only_one_of_the_agents(self) -> None:
+        self.check_cut(cut("entry-0", "entry-1"), cut("entry-1", "agent-1"))
+
+    def test_the_job_is_submitted_while_its_entry_is_cut_off_already(self) -> None:
+        jobs = (JobPlan(at_s=1.5, run_s=(RUN_S,)),)
+        hang_up = replace(UNHEARD, at_s=1.8)
+        self.check(
+            cut("entry-0", "entry-1"), hang_up, jobs=jobs, entries=2, plays=PLAYS, lasts_s=7.0
+        )
+
+
+class SplitTests(CutEntriesTestCase):
+    """No process hears both."""
+
+    def test_each_agent_hears_only_one_of_the_entries(self) -> None:
+        self.check_cut(
+            cut("entry-0", "entry-1"), cut("entry-0", "agent-1"), cut("entry-1", "agent-0")
+        )
+
+
+class CutOffTests(CutEntriesTestCase):
+    """An entry reaches nobody for a while, and is back while its caller is elsewhere."""
+
+    def test_a_job_that_waited_at_an_entry_that_reached_nobody(self) -> None:
+        """Its tasks wait for room; the ways to the agents heal before the one to the entry."""
+        jobs = (
+            JobPlan(at_s=0.0, run_s=(1.0,) * 8, entry=1),
+            JobPlan(at_s=0.02, run_s=(RUN_S,)),
+        )
+        cuts = [
+            Cut(sender="entry-0", receiver=agent, at_s=0.1, for_s=4.0)
+            for agent in ("agent-0", "agent-1")
+        ]
+        hang_up = HangUp(job=1, at_s=0.3, is_heard=False)
+        self.check(
+            cut("entry-0", "entry-1"),
+            *cuts,
+            hang_up,
+            jobs=jobs,
+            entries=2,
+            plays=PLAYS,
+            lasts_s=7.0,
+        )
+
+
+class AloneTests(CutEntriesTestCase):
+    """What must not be refused: an entry that is alone since the others are down."""
+
+    def test_an_entry_whose_only_peer_is_dead_starts_all_jobs(self) -> None:
+        jobs = tuple(JobPlan(at_s=0.2 * number, run_s=(0.1,)) for number in range(12))
+        for seed in range(3):
+            dead = Kill(process="entry-1", at_s=-0.9, for_s=30.0)
+            history = History(seed=seed, jobs=jobs, faults=(dead,), entries=2)
+            outcome = play(history)
+            self.assertEqual([], outcome.broken, "\n".join(outcome.trace))
+            self.assertEqual(len(jobs), outcome.starts)
+            self.assertEqual(["JobDone"] * len(jobs), outcome.answers)
