Give up what is open at an entry that reaches neither agents nor a lost peer

Symptom: an entry is cut off from everybody for two seconds or more, its callers go to another one, and as the ways to agents heal before the one to that entry both run the job. Cause: its claims lapse at the others, but nothing told the entry itself. What had begun was placed again and what waited was started with the first report of room; the trace has a start some milliseconds after `agent:link`, while the run of the other entry goes on.

An id that nobody could confirm is turned away as not run, in place of "held by another entry".

Ruled out: refusing all that comes meanwhile. New jobs wait for their claim, so that a system whose agents are all restarted at once goes on as before.

--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -36,6 +36,13 @@
 STOOD_STILL = "the entry stood still"
 STOOD_STILL_RETRY_S = 0.1
 """When the caller of a job that waited meanwhile may come back."""
+CUT_OFF = "the entry is cut off"
+CUT_OFF_RETRY_S = 0.1
+"""When the caller of a job that waits here may come back, on a new connection: the balancer sends
+it elsewhere as soon as this entry says that it is not ready."""
+UNCONFIRMED = "nobody could say whether its id is free"
+UNCONFIRMED_RETRY_S = 0.1
+"""When the caller of such a job may come back; it has waited for :data:`CLAIM_PATIENCE_S`."""
 
 
 class ClaimKeeper(Protocol):
@@ -218,16 +225,30 @@
         """
         self._standstills += 1
         may_have_lapsed = now - self._ticked_at >= self._times.lost_run_s
+        waiting = JobTurnedAway(cause=STOOD_STILL, retry_after_s=STOOD_STILL_RETRY_S)
+        self._abandon(STOOD_STILL, waiting=waiting if may_have_lapsed else None)
+
+    def abandon_cut_off(self) -> None:
+        """Drop all jobs, since others may be granted their ids while this entry reaches nobody.
+
+        What has begun lapses now, as no agent hears this entry; what waits is turned away. Kept, it
+        would start as soon as an agent is back, beside the run of another entry.
+        """
+        waiting = JobTurnedAway(cause=CUT_OFF, retry_after_s=CUT_OFF_RETRY_S)
+        self._abandon(CUT_OFF, waiting=waiting)
+
+    def _abandon(self, cause: str, *, waiting: JobTurnedAway | None) -> None:
+        """Drop the jobs that have begun, and answer those that wait so, if they go as well."""
         for job_id, job in list(self._open.items()):
             known = self._scheduler.open_jobs.get(job_id)
             if known is None:
                 # It is being claimed, or its end is being carried out.
                 continue
             if known.has_begun:
-                self._drop(job_id, STOOD_STILL)
-            elif may_have_lapsed:
-                job.resolve(JobTurnedAway(cause=STOOD_STILL, retry_after_s=STOOD_STILL_RETRY_S))
-                self._drop(job_id, STOOD_STILL)
+                self._drop(job_id, cause)
+            elif waiting is not None:
+                job.resolve(waiting)
+                self._drop(job_id, cause)
 
     def abandon_all(self) -> None:
         """Drop every job, since this process ends."""
@@ -251,6 +272,8 @@
                 held_by = result.owner
             if time.monotonic() > give_up_at or self._open.get(job.request.id) is not job:
                 log_event("job:not-claimed", job=job.request.id, held_by=held_by)
+                if not held_by:
+                    return JobTurnedAway(cause=UNCONFIRMED, retry_after_s=UNCONFIRMED_RETRY_S)
                 return JobDropped(cause="its id is held by another entry")
             await asyncio.sleep(CLAIM_RETRY_S)
 
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -268,4 +268,6 @@
         now = time.monotonic()
         self._agents.tick(now)
         self._peers.tick(now)
+        if self._peers.is_cut_off:
+            self._desk.abandon_cut_off()
         self._desk.tick(now)
