--- a/tests/histories/test_cut_entries.py
+++ b/tests/histories/test_cut_entries.py
@@ -15,9 +15,18 @@
 
 from dataclasses import replace
 
-from tests.histories.base import Cut, Fault, Freeze, HangUp, History, JobPlan, Kill
+from tests.histories.base import (
+    CallEffect,
+    Cut,
+    Fault,
+    Freeze,
+    HangUp,
+    History,
+    JobPlan,
+    Kill,
+)
 from tests.histories.draw import play
-from tests.histories.test_orders import OrdersTestCase
+from tests.histories.test_orders import OrdersTestCase, fail_calls
 
 RUN_S = 9.0
 CUT_AT_S = 0.1
@@ -123,6 +132,38 @@
         self.check_cut_off(hang_up, JobPlan(at_s=0.6, run_s=(RUN_S,)))
 
 
+class LeftRunsTests(CutEntriesTestCase):
+    """Runs of an entry that agents have lost go on for a moment, or longer if stops get lost.
+
+    A second entry that has never met the first one began just then. No agent heard the first one any
+    more, so the second granted itself the id, and the job began anew 0.1 to 0.5 s before the lease
+    of its first run was over. In 12 plays of each order a task ran twice in 3 to 7 where stops were
+    lost, and the trace has `entry:lost` of the agent, with one run, before the second start.
+    """
+
+    def test_an_entry_begins_as_agents_lose_the_one_that_it_never_met(self) -> None:
+        stops = fail_calls("stop", CallEffect.LOST, for_s=3.0)
+        for at_s in (0.5, 0.7, 0.9, 1.1, 1.3):
+            begins = Kill(process="entry-1", at_s=-0.9, for_s=at_s + 0.85)
+            apart = Cut(sender="entry-0", receiver="entry-1", at_s=-0.95, for_s=9.0)
+            cuts = [
+                Cut(sender="entry-0", receiver=agent, at_s=at_s, for_s=4.0)
+                for agent in ("agent-0", "agent-1")
+            ]
+            for left_at_s in (0.1, 0.2, 0.3):
+                hang_up = replace(UNHEARD, at_s=left_at_s)
+                self.check(
+                    begins,
+                    apart,
+                    *cuts,
+                    hang_up,
+                    *stops,
+                    runs=(RUN_S,),
+                    entries=2,
+                    plays=PLAYS // 2,
+                )
+
+
 class AloneTests(CutEntriesTestCase):
     """What must not be refused: an entry that is alone since the others are down."""
 
