Wait for runs whose owner no agent hears before their id is granted

Symptom: a job began anew while a run of it went on at an agent that had just lost its owner. Cause: an entry that had never met the owner had no claim of it, and no agent heard the owner any more. That its runs go on until their lease is over was known to the agents alone. Change: agents tell the entries that asked also which jobs still run there for an owner that they do not hear, strays of an earlier life among them. Such an id is not granted until they have ended.

--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -88,6 +88,11 @@
         """What runs or was ordered."""
         return self._runs
 
+    @property
+    def strays(self) -> frozenset[RunId]:
+        """What runs on the worker that this life of the agent does not know."""
+        return frozenset(self._strays)
+
     @property
     def health(self) -> WorkerHealth:
         """Whether the worker is trusted."""
--- a/dalemast/fleet/agent/owner_sessions.py
+++ b/dalemast/fleet/agent/owner_sessions.py
@@ -50,8 +50,6 @@
         self.clock_asked_at = float("-inf")
         self.entries_asked: int | None = None
         """The number of the entry's last question which entries are heard here, if it has asked."""
-        self.entries_told: tuple[str, ...] = ()
-        """What it was told last."""
         self._probed_at = float("-inf")
         self._clock_questions = 0
         self._lead = LeastLead(drift=STEADY_CLOCK_DRIFT)
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -84,7 +84,7 @@
         )
         self._sessions: dict[str, OwnerSession] = {}
         self._reports = WorkerReports(supervisor=supervisor, sessions=self._sessions)
-        self._relay = EntryRelay(sessions=self._sessions)
+        self._relay = EntryRelay(sessions=self._sessions, supervisor=supervisor)
 
     def __len__(self) -> int:
         return len(self._sessions)
--- a/dalemast/fleet/agent/relay.py
+++ b/dalemast/fleet/agent/relay.py
@@ -9,21 +9,34 @@
 
 import time
 from collections.abc import Mapping
+from dataclasses import dataclass
 
+from dalemast.core.supervision import Supervisor
 from dalemast.fleet.agent.owner_sessions import OwnerSession
 from dalemast.fleet.frames import EntriesAsk, EntriesHeard, Relayed, RouteEnded
 
 __all__ = ["EntryRelay"]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeardEntries:
+    """The owners that are linked, and the jobs that still run for others."""
+
+    owners: frozenset[str] = frozenset()
+    left_jobs: frozenset[str] = frozenset()
+
+
 class EntryRelay:
     """Serves entries that ask for one another.
 
     ``sessions`` are the links with entries, by owner; their keeper adds to them and takes away.
     """
 
-    def __init__(self, *, sessions: Mapping[str, OwnerSession]) -> None:
+    def __init__(self, *, sessions: Mapping[str, OwnerSession], supervisor: Supervisor) -> None:
         self._sessions = sessions
+        self._supervisor = supervisor
+        self._told = HeardEntries()
+        """What was so when entries were told last."""
 
     def take_ask(self, session: OwnerSession, ask: EntriesAsk) -> None:
         """Answer an entry now and from now on, and find out whether its suspects are there."""
@@ -33,8 +46,7 @@
             suspect = self._sessions.get(owner)
             if suspect is not None:
                 suspect.probe(now=now)
-        session.entries_told = self._list_others(session)
-        session.link.send(EntriesHeard(number=ask.number, entries=session.entries_told))
+        self._tell(session, self._hear())
 
     def pass_on(self, session: OwnerSession, message: Relayed | RouteEnded) -> None:
         """Pass a frame or the end of a route on to its receiver."""
@@ -51,14 +63,27 @@
             session.link.send(ended)
 
     def tell_changes(self) -> None:
-        """Tell the entries that have asked, if the links are others by now."""
+        """Tell the entries that have asked, if something is other than they were told last."""
+        heard = self._hear()
+        if heard == self._told:
+            return
+        self._told = heard
         for session in self._sessions.values():
-            if session.entries_asked is None:
-                continue
-            entries = self._list_others(session)
-            if entries != session.entries_told:
-                session.entries_told = entries
-                session.link.send(EntriesHeard(number=session.entries_asked, entries=entries))
-
-    def _list_others(self, session: OwnerSession) -> tuple[str, ...]:
-        return tuple(sorted(owner for owner in self._sessions if owner != session.owner))
+            if session.entries_asked is not None:
+                self._tell(session, heard)
+
+    def _hear(self) -> HeardEntries:
+        runs = self._supervisor.runs.values()
+        left = {
+            run.request.run_id.job_id for run in runs if run.request.owner not in self._sessions
+        }
+        left.update(run_id.job_id for run_id in self._supervisor.strays)
+        return HeardEntries(owners=frozenset(self._sessions), left_jobs=frozenset(left))
+
+    def _tell(self, session: OwnerSession, heard: HeardEntries) -> None:
+        news = EntriesHeard(
+            number=session.entries_asked or 0,
+            entries=tuple(sorted(heard.owners - {session.owner})),
+            left_jobs=tuple(sorted(heard.left_jobs)),
+        )
+        session.link.send(news)
--- a/dalemast/fleet/entry/claims.py
+++ b/dalemast/fleet/entry/claims.py
@@ -15,7 +15,7 @@
 from dalemast.fleet.frames import Claim, ClaimAnswer, Release, Yield
 from dalemast.observability import log_event
 
-__all__ = ["JobClaims", "OwnJobs"]
+__all__ = ["JobClaims", "OwnJobs", "PeerSearch"]
 
 CLAIM_TIMEOUT_S = 0.15
 """A home in the same region answers within about 2 ms, a slowed one within some 50 ms. After this
@@ -48,6 +48,17 @@
         """Stop a job since another entry was asked for it; release its id once it has ended."""
 
 
+class PeerSearch(Protocol):
+    """What agents tell of entries that this one has no link with."""
+
+    @property
+    def is_searching(self) -> bool:
+        """Whether such an entry may be there."""
+
+    def has_left_runs(self, job_id: str) -> bool:
+        """Tell whether something of a job still runs for an owner that its agent does not hear."""
+
+
 class JobClaims:
     """Claims ids at the entries in reach, and answers for the ids whose home this entry is.
 
@@ -55,8 +66,8 @@
     silence. Its keepers are its home, or the next entry in line if the asker is the home itself, so
     that one more entry knows of it; in doubt they are all entries in reach.
 
-    ``is_searching`` tells whether a peer that was lost or never met may be there all the same: then
-    no id is granted that it may have.
+    ``search`` tells whether a peer that was lost or never met may be there all the same: then no id
+    is granted that it may have.
 
     ``dialled`` are the links that carry this entry's claims, by the peer's name, and ``accepted``
     those that carry the peers', by their incarnation; their keeper adds to them and takes away.
@@ -71,7 +82,7 @@
         dialled: Mapping[str, PeerSession],
         accepted: Mapping[str, PeerSession],
         has_met_all: Callable[[], bool],
-        is_searching: Callable[[], bool] = lambda: False,
+        search: PeerSearch | None = None,
     ) -> None:
         self._member = member
         self._jobs = jobs
@@ -81,7 +92,7 @@
         self._dialled = dialled
         self._accepted = accepted
         self._has_met_all = has_met_all
-        self._is_searching = is_searching
+        self._search = search
         self._numbers = itertools.count(1)
         self._asked: dict[int, Question] = {}
         self._asked_for: dict[str, set[str]] = {}
@@ -117,7 +128,7 @@
             is_doubtful = is_doubtful or not all(map(_is_grant, answers.values()))
             agreed |= missing - silent
         held = self._find_holder(job_id)
-        if held is None and self._may_be_held_unseen(job_id, is_doubtful=is_doubtful):
+        if held is None and self._is_held_unseen(job_id, is_doubtful=is_doubtful):
             return Held(owner="", free_at=None)
         return held or Granted()
 
@@ -241,16 +252,20 @@
             return set()
         return {self._dialled[choose_home(job_id, self._dialled)]}
 
-    def _may_be_held_unseen(self, job_id: str, *, is_doubtful: bool) -> bool:
-        """Tell whether an entry that is still being looked for may have an id, or keep its claim.
+    def _is_held_unseen(self, job_id: str, *, is_doubtful: bool) -> bool:
+        """Tell whether an entry without a link may have an id, or keep its claim.
 
         Silence of a peer is no answer: it may be cut off from this entry alone. And an entry that
         has lost all others keeps its own claims alone, while they may count it as gone.
         """
+        if self._search is None:
+            return False
+        if self._search.has_left_runs(job_id):
+            return True
         is_alone = self.has_lost_peers and not self._dialled
         if not is_doubtful and not is_alone and not self._may_be_kept_elsewhere(job_id):
             return False
-        return self._is_searching()
+        return self._search.is_searching
 
     def _may_be_kept_elsewhere(self, job_id: str) -> bool:
         """Tell whether the id's home may be an entry that was lost a while ago."""
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -92,7 +92,7 @@
             dialled=self._dialled,
             accepted=self._accepted,
             has_met_all=self._has_met_all,
-            is_searching=lambda: self._routes.is_searching,
+            search=self._routes,
         )
 
     @property
--- a/dalemast/fleet/entry/routes.py
+++ b/dalemast/fleet/entry/routes.py
@@ -53,10 +53,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AgentView:
-    """The incarnations that an agent hears, as of the question that it answered last."""
+    """The incarnations that an agent hears, as of the question that it answered last.
+
+    ``left_jobs`` are the jobs that still run there for an owner that it does not hear.
+    """
 
     answered: int
     entries: frozenset[str]
+    left_jobs: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -118,6 +122,10 @@
             view.answered >= number and incarnation not in view.entries for view in views
         )
 
+    def has_left_runs(self, job_id: str) -> bool:
+        """Tell whether something of a job still runs for an owner that its agent does not hear."""
+        return any(job_id in view.left_jobs for view in self._views.values())
+
     def awaits(self, session: AgentSession) -> bool:
         """Tell whether an agent has not answered yet."""
         view = self._views.get(session)
@@ -149,7 +157,11 @@
         """Take in whom an agent hears."""
         if session not in self._views:
             return
-        self._views[session] = AgentView(answered=news.number, entries=frozenset(news.entries))
+        self._views[session] = AgentView(
+            answered=news.number,
+            entries=frozenset(news.entries),
+            left_jobs=frozenset(news.left_jobs),
+        )
         self._open_routes(now=time.monotonic())
         self._receiver.note_routes_changed()
 
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -317,10 +317,15 @@
 
 
 class EntriesHeard(Message, frozen=True, tag="N"):
-    """The incarnations that an agent has links with. ``number`` is the last question's."""
+    """The incarnations that an agent has links with. ``number`` is the last question's.
+
+    ``left_jobs`` are the jobs of which something still runs there for an owner that it has lost, or
+    does not know.
+    """
 
     number: int
     entries: tuple[str, ...]
+    left_jobs: tuple[str, ...] = ()
 
 
 class Relayed(Message, frozen=True, tag="f"):
--- a/tests/histories/test_cut_entries.py
+++ b/tests/histories/test_cut_entries.py
@@ -101,10 +101,10 @@
 class CutOffTests(CutEntriesTestCase):
     """An entry reaches nobody for some seconds, and then agents before the other entry.
 
-    What it had open was lapsed and granted elsewhere by then, and it started it once more as soon as
-    the first agent was back. In 24 plays of each of these orders a task ran twice in 11 to 17; the
-    trace has a start of the first entry some milliseconds after its `agent:link`, while the run of
-    the other entry went on.
+    What it had open had lapsed and was granted elsewhere by then, and it started it once more as
+    soon as the first agent was back. In 24 plays of each of these orders a task ran twice in 11 to
+    17; the trace has a start of the first entry some milliseconds after its `agent:link`, while the
+    run of the other entry went on.
     """
 
     HEALS_S = (1.2, 1.6, 2.0, 2.5, 3.0, 4.0)
@@ -135,10 +135,10 @@
 class LeftRunsTests(CutEntriesTestCase):
     """Runs of an entry that agents have lost go on for a moment, or longer if stops get lost.
 
-    A second entry that has never met the first one began just then. No agent heard the first one any
-    more, so the second granted itself the id, and the job began anew 0.1 to 0.5 s before the lease
-    of its first run was over. In 12 plays of each order a task ran twice in 3 to 7 where stops were
-    lost, and the trace has `entry:lost` of the agent, with one run, before the second start.
+    A second entry that has never met the first one began just then. No agent heard the first one
+    any more, so the second granted itself the id, and the job began anew before the lease of its
+    first run was over. In 12 plays of each order a task ran twice in 3 to 7 where stops were lost,
+    and the trace has `entry:lost` of the agent, with one run, before the second start.
     """
 
     def test_an_entry_begins_as_agents_lose_the_one_that_it_never_met(self) -> None:
