--- a/tests/fleet/test_foreign.py
+++ b/tests/fleet/test_foreign.py
@@ -4,9 +4,11 @@
 
 import asyncio
 from typing import Any
+from unittest import mock
 
 import msgspec
 
+from dalemast.emulator.fates import CallFates
 from tests.base import AsyncTestCase, wait_until
 from tests.fleet.base import LocalFleet, make_configuration, make_text, settle
 
@@ -72,6 +74,61 @@
         self.run_async(run())
 
 
+class ForeignEndTests(AsyncTestCase):
+    """Another writer ends a life of a worker that goes on.
+
+    An agent that had just begun heard the other writer first: a report under the worker's id that
+    it leaves, with a number far ahead, so that the worker's own ones were passed over. Then a
+    goodbye under that id was believed. Three of the worker's reports proved the first one foreign a
+    second later, but a life that had said goodbye never came back: the agent logged
+    `worker:deregistered`, 0.8 s later `worker:gone`, and after 33 ms, for good,
+    `worker:doubtful-report` with no life believed in. It had no worker for the remaining 32 s.
+    """
+
+    async def check_worker_is_back(self, fleet: LocalFleet, *, is_gone_first: bool) -> None:
+        worker, agent = fleet.workers[0], fleet.agents[0]
+        await worker.crash()
+        with mock.patch.object(worker, "_beat"):
+            worker.start()
+            fields = {"state": "draining", "seq": 10**9}
+            self.assertEqual(200, await send_report(fleet, worker.life_id, **fields))
+            await wait_until(lambda: get_life_id(agent) == worker.life_id, "the life to be met")
+            self.assertEqual(200, await send(fleet, "Deregister", worker.life_id, b""))
+            if is_gone_first:
+                worker.set_faults(looks=CallFates(lost=1.0))
+                await wait_until(lambda: get_life_id(agent) is None, "it to be given up")
+                worker.set_faults(looks=CallFates())
+        await wait_until(lambda: get_life_id(agent) == worker.life_id, "the worker to be back")
+        await wait_until(lambda: has_room(fleet), "it to take tasks")
+        self.assertEqual(200, (await fleet.submit(JOB)).status)
+
+    def test_a_worker_that_was_said_to_end_goes_on(self) -> None:
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                await self.check_worker_is_back(fleet, is_gone_first=False)
+
+        self.run_async(run())
+
+    def test_a_worker_that_was_given_up_since_it_was_said_to_end_is_back(self) -> None:
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                await self.check_worker_is_back(fleet, is_gone_first=True)
+
+        self.run_async(run())
+
+
+def get_life_id(agent: Any) -> str | None:
+    """Return the life of its worker that an agent believes in."""
+    life = agent._supervisor.life
+    return None if life is None else life.id
+
+
+def has_room(fleet: LocalFleet) -> bool:
+    """Tell whether the first entry knows a worker that takes tasks."""
+    workers = fleet.entries[0].get_state()["workers"].values()  # type: ignore[attr-defined]
+    return any(worker["is_accepting"] for worker in workers)
+
+
 class ForeignRowTests(AsyncTestCase):
     def test_a_fleet_goes_on_beside_foreign_rows(self) -> None:
         async def run() -> None:
