Take a goodbye back once what announced it proves to be another writer's

An agent knew no worker for its last 32 s, though its worker was healthy and reported. Cause: a report under the worker's id that it leaves, and a goodbye after it, both another writer's. When the worker's own reports had proved the first one foreign, a second later, the goodbye stayed in force: a life that has said that it ends was never met again. Read from the kept log: met at 86.094 by the foreign report, `worker:deregistered` 86.634, `worker:gone` 87.410, own report passed on and refused 87.443 (`worker:doubtful-report`, believed none). The promise was at fault, not the check.

Change: reports that replace a line of another writer's restore the life whose end was only said. An end that the worker itself has shown (another life answers in its place) stays for good.

Ruled out: that any ready report brings a life back. A late one, sent before the goodbye, must not.

--- a/dalemast/core/supervision/lives.py
+++ b/dalemast/core/supervision/lives.py
@@ -27,8 +27,9 @@
         self._current: WorkerLife | None = None
         self._claimant: WorkerLife | None = None
         self._claimed_at = 0.0
-        self._over: dict[str, None] = {}
-        """Lives that never come back, the one that ended last at the end."""
+        self._over: dict[str, bool] = {}
+        """Lives that never come back, the one that ended last at the end, each with whether that is
+        proved by the worker itself; of the others it was only said."""
         self._unproved: set[str] = set()
         """Lives met before the current one; they are over once it has answered a call."""
 
@@ -60,17 +61,20 @@
             return
         self._unproved.discard(self._current.id)
         for life_id in self._unproved:
-            self._note_over(life_id)
+            self._note_over(life_id, is_proved=True)
         self._unproved.clear()
         if self._claimant is not None and asked_at > self._claimed_at:
-            self._note_over(self._claimant.id)
+            self._note_over(self._claimant.id, is_proved=True)
             self._claimant = None
 
-    def lose(self, *, is_over: bool) -> WorkerLife | None:
-        """Give the current life up; return the claimant that has taken its place, if any."""
+    def lose(self, *, is_over: bool, has_said_so: bool = False) -> WorkerLife | None:
+        """Give the current life up; return the claimant that has taken its place, if any.
+
+        ``is_over`` is what the worker has shown, ``has_said_so`` what was said in its name.
+        """
         if self._current is not None:
-            if is_over:
-                self._note_over(self._current.id)
+            if is_over or has_said_so:
+                self._note_over(self._current.id, is_proved=is_over)
             else:
                 self._unproved.add(self._current.id)
         self._current = self._claimant
@@ -78,12 +82,19 @@
         return self._current
 
     def bar(self, life_id: str) -> None:
-        """Note that a life is over which is not the current one."""
-        self._note_over(life_id)
+        """Note that a life has said that it is over which is not the current one."""
+        self._note_over(life_id, is_proved=False)
         if self._claimant is not None and self._claimant.id == life_id:
             self._claimant = None
 
-    def _note_over(self, life_id: str) -> None:
-        self._over[life_id] = None
+    def restore(self, life_id: str) -> bool:
+        """Let a life come back that was only said to be over; return whether it was."""
+        if self._over.get(life_id, True):
+            return False
+        del self._over[life_id]
+        return True
+
+    def _note_over(self, life_id: str, *, is_proved: bool) -> None:
+        self._over[life_id] = is_proved or self._over.get(life_id, False)
         if len(self._over) > MAX_OVER:
             del self._over[next(iter(self._over))]
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -182,7 +182,8 @@
         ``is_over`` tells that this life can't come back: it said that it ends, or another life
         answers in its place. One that is only out of reach may report again.
         """
-        claimant = self._lives.lose(is_over=is_over or self._acceptance.is_ending)
+        has_said_so = self._acceptance.is_ending
+        claimant = self._lives.lose(is_over=is_over, has_said_so=has_said_so)
         self._strays.clear()
         self._acceptance.is_ending = False
         self._acceptance.is_silent = False
@@ -203,6 +204,17 @@
         self._acceptance.is_ending = True
         return [ReportRoom()]
 
+    def restore_life(self, life_id: str) -> bool:
+        """Take a life's word back that it ends, since it was another writer's.
+
+        Return whether it had been believed. The life's own reports and answers tell the rest.
+        """
+        if self.life is not None and self.life.id == life_id:
+            was_ending = self._acceptance.is_ending
+            self._acceptance.is_ending = False
+            return was_ending
+        return self._lives.restore(life_id)
+
     def drain(self) -> list[Action]:
         """Take no more starts."""
         self._acceptance.is_draining = True
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -94,6 +94,12 @@
         log_event("worker:deregistered", worker=life_id)
         self._change_life(lambda: self._supervisor.end_life(life_id))
 
+    def restore_life(self, life_id: str) -> None:
+        """Note that it was another writer that said so."""
+        if self._supervisor.restore_life(life_id):
+            log_event("worker:restored", worker=life_id)
+            self.apply([ReportRoom()])
+
     def start(self, request: StartRequest) -> None:
         """Take an owner's start."""
         self.apply(self._supervisor.start(request, now=time.monotonic()))
--- a/dalemast/fleet/base.py
+++ b/dalemast/fleet/base.py
@@ -230,6 +230,9 @@
     def lose_life(self, life_id: str) -> None:
         """A worker has said that it ends."""
 
+    def restore_life(self, life_id: str) -> None:
+        """What was reported of a worker's life was another writer's, also that it ends."""
+
 
 class BaseRegistration(abc.ABC):
     """Takes the worker's reports on the agent's host.
--- a/dalemast/platform/lines.py
+++ b/dalemast/platform/lines.py
@@ -64,6 +64,7 @@
 
     def __init__(self, *, account: Account, number: int, now: float) -> None:
         self._rival: Rival | None = None
+        self._is_replaced = False
         self.is_leaving = False
         """Whether its last report that was taken said that it leaves."""
         self._believe(account, number, now)
@@ -73,11 +74,18 @@
         """When its last report was taken."""
         return self._heard_at
 
+    @property
+    def is_replaced(self) -> bool:
+        """Whether its last report showed that those before were another writer's."""
+        return self._is_replaced
+
     def take(self, account: Account, number: int, *, now: float) -> bool:
         """Return whether a report is news; raises :class:`ForeignInput` if it is foreign."""
         limit = self._number + NUMBERS_AHEAD + NUMBERS_PER_S * (now - self._heard_at)
         is_same = account == self._account
-        if (is_same and self._number < number <= limit) or self._replaces(account, number, now):
+        is_next = is_same and self._number < number <= limit
+        if is_next or self._replaces(account, number, now):
+            self._is_replaced = not is_next
             self._believe(account, number, now)
             return True
         if not is_same:
@@ -124,6 +132,11 @@
         line.is_leaving = is_leaving
         return True
 
+    def is_replaced(self, life_id: str) -> bool:
+        """Tell whether a life's last report showed that those before were another writer's."""
+        line = self._lines.get(life_id)
+        return line is not None and line.is_replaced
+
     def check_end(self, life_id: str) -> None:
         """Raise :class:`ForeignInput` unless this life has said that it leaves."""
         line = self._lines.get(life_id)
--- a/dalemast/platform/registration.py
+++ b/dalemast/platform/registration.py
@@ -118,8 +118,12 @@
         is_news = self._lines.take(
             life_id, account, beat.seq, is_leaving=life.is_leaving, now=time.monotonic()
         )
-        if is_news:
-            self._observer.meet_life(life)
+        if not is_news:
+            return
+        if self._lines.is_replaced(life_id):
+            # What was said under this id before was another writer's, a goodbye among it.
+            self._observer.restore_life(life_id)
+        self._observer.meet_life(life)
 
     def take_end(self, life_id: str) -> None:
         """Pass on that a worker ends which has said that it leaves; or :class:`ForeignInput`."""
--- a/tests/platform/reports.py
+++ b/tests/platform/reports.py
@@ -31,6 +31,7 @@
     def __init__(self) -> None:
         self.lives: list[WorkerLife] = []
         self.lost: list[str] = []
+        self.restored: list[str] = []
 
     def meet_life(self, life: WorkerLife) -> None:
         """Note an account."""
@@ -40,6 +41,10 @@
         """Note an end."""
         self.lost.append(life_id)
 
+    def restore_life(self, life_id: str) -> None:
+        """Note that a life was another writer's to end."""
+        self.restored.append(life_id)
+
 
 def make_settings(registration: str = "10.1.0.14:8166") -> FleetAgentSettings:
     """Return the settings of an agent whose worker takes calls at :data:`ADDRESS`."""
