--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,7 +14,10 @@
 1 told a broken promise that was none: the soak's caller took a refused connection for a refusal by
 an entry, though its client had sent the request once before on a kept connection. Beside load it
 failed again, when an agent dialled an entry never again whose connection had ended before it was a
-link.
+link. Once in 144 plays an agent knew no worker for its last 32 s: it had just begun, took another
+writer's report for the worker's, then that writer's goodbye (`worker:deregistered`), and never met
+the worker again, whose own reports it logged as `worker:doubtful-report` with no life believed in:
+tests/fleet/test_foreign.py.
 877342 ran a task on two workers for a moment: an agent's new life listed no runs, since it had not
 looked at its worker yet, and the owner took what was not listed as over.
 88993, 914339 and 517246, at 15 s and 4 workers, told of two runs since the proxy delivered bytes
