--- a/tests/histories/test_cut_entries.py
+++ b/tests/histories/test_cut_entries.py
@@ -98,8 +98,15 @@
         )
 
     def test_a_drawn_split_by_cuts_of_which_one_is_one_way(self) -> None:
-        """Seed 3742 of the drawn histories with cut entries; the only one that broke of 4,600."""
-        history = draw_cut_history(3742)
+        """Seed 3742 of the drawn histories with cut entries."""
+        self.check_drawn(3742)
+
+    def test_a_drawn_split_into_which_a_job_is_moved(self) -> None:
+        """Seed 10398: the first entry's run was lost and began anew in its own half."""
+        self.check_drawn(10398)
+
+    def check_drawn(self, seed: int) -> None:
+        history = draw_cut_history(seed)
         for _ in range(PLAYS):
             outcome = play(history)
             self.assertEqual([], outcome.broken, "\n".join(outcome.trace))
