--- a/dalemast/core/supervision/__init__.py
+++ b/dalemast/core/supervision/__init__.py
@@ -20,7 +20,7 @@
 from dalemast.core.supervision.health import WorkerHealth
 from dalemast.core.supervision.leases import WorkerLease
 from dalemast.core.supervision.looks import LookPlan, LookSchedule
-from dalemast.core.supervision.runs import RunPhase
+from dalemast.core.supervision.runs import Run, RunPhase
 from dalemast.core.supervision.supervisor import Supervisor, SupervisorLimits
 
 __all__ = [
@@ -35,6 +35,7 @@
     "ReportRoom",
     "ReportSlow",
     "RoomAudience",
+    "Run",
     "RunId",
     "RunPhase",
     "StartOutcome",
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -176,18 +176,20 @@
         changed = known.is_leaving != life.is_leaving
         return [ReportRoom()] if changed else []
 
-    def lose_life(self, *, is_over: bool) -> list[Action]:
+    def lose_life(self, *, is_over: bool, is_refused: bool = False) -> list[Action]:
         """Note that the worker is gone: its process ended, so nothing runs there.
 
         ``is_over`` tells that this life can't come back: it said that it ends, or another life
-        answers in its place. One that is only out of reach may report again.
+        answers in its place. One that is only out of reach may report again. ``is_refused`` tells
+        that nothing listens in its place.
         """
         has_said_so = self._acceptance.is_ending
+        reason = self._explain_loss(is_process_gone=is_over or is_refused)
         claimant = self._lives.lose(is_over=is_over, has_said_so=has_said_so)
         self._strays.clear()
         self._acceptance.is_ending = False
         self._acceptance.is_silent = False
-        actions = [*self._end_all(), ReportRoom()]
+        actions = [*self._end_all(reason), ReportRoom()]
         if claimant is not None:
             actions += self._begin_life()
         return actions
@@ -427,9 +429,18 @@
         self._acceptance.is_silent = False
         return [ReportRoom()]
 
-    def _end_all(self) -> list[Action]:
+    def _explain_loss(self, *, is_process_gone: bool) -> EndReason:
+        """Return how the runs ended that a lost life had.
+
+        One that is only silent may be cut off, and one that leaves ends as it was planned to.
+        """
+        life = self.life
+        is_leaving = self._acceptance.is_ending or (life is not None and life.is_leaving)
+        return EndReason.CRASHED if is_process_gone and not is_leaving else EndReason.STOPPED
+
+    def _end_all(self, reason: EndReason) -> list[Action]:
         ends: list[Action] = [
-            ReportEnd(owner=run.request.owner, run_id=run_id, reason=EndReason.STOPPED, run_s=0.0)
+            ReportEnd(owner=run.request.owner, run_id=run_id, reason=reason, run_s=0.0)
             for run_id, run in self._runs.items()
         ]
         self._runs.clear()
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -15,6 +15,7 @@
     ReportEnd,
     ReportRoom,
     ReportSlow,
+    Run,
     RunId,
     StartOutcome,
     StartRequest,
@@ -39,6 +40,8 @@
 IDLE_LOOK_S = 2.0
 """Pause between looks while nothing runs. They follow the worker's clock: a lease is shorter by 2 %
 of the time since it was read last, 0.04 s at the most so."""
+MAX_LOGGED_TASKS = 20
+"""Tasks that the line of a lost worker names; more than run on one."""
 LATE_START_S = 0.1
 """A start that took longer has a line in the log: a worker answers within some milliseconds, and
 the try that was carried out was a further one, or this process stood still before it."""
@@ -202,19 +205,35 @@
             return
         log_event("worker:refused", reason=reason)
         self._refused = 0
-        self._change_life(lambda: self._supervisor.lose_life(is_over=False))
+        self._change_life(lambda: self._supervisor.lose_life(is_over=False, is_refused=True))
 
     def _change_life(self, change: Callable[[], list[Action]]) -> None:
         """Let the supervisor give a life up, and address calls to the one it believes in then."""
         before = self._supervisor.life
-        runs = len(self._supervisor.runs)
+        runs = list(self._supervisor.runs.values())
         actions = change()
         after = self._supervisor.life
         if before is not None and (after is None or after.id != before.id):
-            log_event("worker:gone", worker=before.id, runs=runs)
+            self._log_gone(before, runs, actions)
         self._follow_life()
         self.apply(actions)
 
+    def _log_gone(self, life: WorkerLife, runs: list[Run], actions: list[Action]) -> None:
+        """Tell how a life ended, and what ran on it: one of its tasks may have ended it."""
+        has_crashed = any(
+            isinstance(action, ReportEnd) and action.reason is EndReason.CRASHED
+            for action in actions
+        )
+        self._metrics.count("workers.crashed" if has_crashed else "workers.gone")
+        now = time.monotonic()
+        log_event(
+            "worker:gone",
+            worker=life.id,
+            runs=len(runs),
+            has_crashed=has_crashed,
+            tasks=[_describe(run, now) for run in runs[:MAX_LOGGED_TASKS]],
+        )
+
     def _follow_life(self) -> None:
         """Address calls to the life that the supervisor believes in."""
         life = self._supervisor.life
@@ -305,3 +324,10 @@
         task: asyncio.Task[None] = asyncio.ensure_future(coroutine)  # type: ignore[arg-type]
         self._orders.add(task)
         task.add_done_callback(self._orders.discard)
+
+
+def _describe(run: Run, now: float) -> str:
+    """Return a run for a log line: its task, its number, its phase and its age in seconds."""
+    job_id, task, number = run.request.run_id
+    age_s = now - run.started_at
+    return f"{job_id}.{task.step}.{task.position} run {number} {run.phase.value} {age_s:.3f}"
