--- a/dalemast/emulator/runs.py
+++ b/dalemast/emulator/runs.py
@@ -49,6 +49,8 @@
         self._last_run: dict[str, int] = {}
         self._ended: list[tuple[int, str, int, str]] = []
         self._ends = 0
+        self._ends_seen = 0
+        """Up to which number ends are taken note of, also such as are still to come."""
         self._fence = 0
         self._until_s = 0.0
         self.done: set[str] = set()
@@ -97,13 +99,14 @@
         if fence < self._fence:
             return "fence"
         self._fence = fence
-        self._ended = [end for end in self._ended if end[0] > ends_seen]
+        self._ends_seen = max(self._ends_seen, ends_seen)
         if until_s is not None:
             self._renew(until_s, now)
         return ""
 
     def get_ended(self) -> list[tuple[int, str, int, str]]:
         """Return the ends that nobody has taken note of: number, task, run, how."""
+        self._ended = [end for end in self._ended if end[0] > self._ends_seen]
         return list(self._ended)
 
     def advance(self, now: float) -> None:
--- a/dalemast/platform/wire.py
+++ b/dalemast/platform/wire.py
@@ -219,7 +219,8 @@
 class Heartbeat(Wire, frozen=True, kw_only=True):
     """A worker's account of itself.
 
-    ``clock_ms`` and ``remaining_ms`` are UNSET where the sender left them out.
+    ``born`` is when its process began, in Unix milliseconds: another one under the same id is
+    another life. It, ``clock_ms`` and ``remaining_ms`` are UNSET where the sender left them out.
     """
 
     service: Text
@@ -232,6 +233,7 @@
     seq: Version
     capacity: CapacityBody
     labels: Annotated[tuple[Text, ...], msgspec.Meta(max_length=MAX_LABELS)]
+    born: Version | msgspec.UnsetType = msgspec.UNSET
     clock_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
     remaining_ms: Milliseconds | msgspec.UnsetType = msgspec.UNSET
 
@@ -265,9 +267,13 @@
 
 
 class HoldAnswer(Wire, frozen=True, kw_only=True):
-    """``running``: task, run, saved progress, percent. ``ended``: number, task, run, how, saved."""
+    """``running``: task, run, saved progress, percent. ``ended``: number, task, run, how, saved.
+
+    ``born`` tells whose lists these are, as in :class:`Heartbeat`.
+    """
 
     clock_ms: float
+    born: int | msgspec.UnsetType = msgspec.UNSET
     running: tuple[tuple[Any, ...], ...] = ()
     ended: tuple[tuple[Any, ...], ...] = ()
 
--- a/tests/histories/base.py
+++ b/tests/histories/base.py
@@ -147,6 +147,11 @@
     cpu: int = 4000
     idle_s: float = 1.0
     lasts_s: float = 6.0
+    keeps_ids: bool = False
+    """Whether a worker that begins anew has the id that it had, and tells its lives apart by when
+    they were born; its counts and its clock begin anew with each."""
+    back_s: float = 2.5
+    """When a worker that a task has ended is back."""
 
 
 @dataclass(kw_only=True, slots=True)
--- a/tests/histories/clock.py
+++ b/tests/histories/clock.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-__all__ = ["ModelHost", "ModelLoop", "Timeline"]
+__all__ = ["EPOCH_S", "ModelHost", "ModelLoop", "Timeline"]
 
 EPOCH_S = 1_700_000_000.0
 """The time of day at the beginning; only its rise matters, for fencing tokens."""
--- a/tests/histories/fleet.py
+++ b/tests/histories/fleet.py
@@ -53,8 +53,6 @@
 TOO_MANY_STARTS = 3
 """A task is not started this often after :data:`MOST_CRASHES` workers have ended under it; from the
 platform."""
-BACK_S = 2.5
-"""When a worker that a task has ended is back."""
 BEAT_S = 1.5
 """Pause between a worker's reports; from the platform."""
 RESEND_S = 1.3
@@ -210,6 +208,7 @@
             name=name,
             cpu=self._history.cpu,
             rate=rate,
+            keeps_id=self._history.keeps_ids,
             timeline=self._timeline,
             rng=self._rng,
             faults=[
@@ -330,7 +329,7 @@
         self._outcome.crashes += 1
         for crashing in set(worker.get_active()) & self._crashing:
             self._crashes[crashing] += 1
-        self._end_worker(worker, for_s=BACK_S)
+        self._end_worker(worker, for_s=self._history.back_s)
 
     def _end_worker(self, worker: ModelWorker, *, for_s: float) -> None:
         worker.crash()
--- /dev/null
+++ b/tests/histories/test_reborn_workers.py
@@ -0,0 +1,98 @@
+"""Workers that begin anew under the id that they had, told apart by when they were born.
+
+A call names its worker by the id alone, so the next life under it carries out what was meant for
+the one before. Its numbers of ends begin at 1 again, and ends that the agent had seen of the life
+before were taken as seen of this one; its clock begins anew, so that a lease of the life before
+reaches far ahead; and a list that it gives was read as that of the life before, whose runs were
+believed to be over, or to go on.
+"""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from tests.histories.base import CallEffect, CallFault, Drop, Fault, Freeze, History, JobPlan, Kill
+from tests.histories.draw import play
+
+PLAYS = 6
+QUICK_S = (0.004, 0.03, 0.4)
+"""How long a worker is away: less than a look takes, than two refused ones do, than a beat."""
+LONG_S = 3.0
+SHORT_S = 0.3
+LASTS_S = 9.0
+WORKERS = ("worker-0", "worker-1")
+JOBS = (
+    JobPlan(at_s=0.0, run_s=(LONG_S, LONG_S, SHORT_S)),
+    *(JobPlan(at_s=0.1 * number, run_s=(SHORT_S,), entry=number % 2) for number in range(1, 25)),
+)
+"""Short jobs make ends that are taken note of, and starts at any moment."""
+
+
+class RebornTests(unittest.TestCase):
+    def check(self, *faults: Fault, jobs: tuple[JobPlan, ...] = JOBS) -> None:
+        """Check that no promise is broken and that every job succeeds."""
+        for away_s in QUICK_S:
+            drawn = History(
+                seed=0,
+                jobs=jobs,
+                faults=tuple(_set_time_away(fault, away_s) for fault in faults),
+                entries=2,
+                lasts_s=LASTS_S,
+                keeps_ids=True,
+                back_s=away_s,
+            )
+            for seed in range(PLAYS):
+                outcome = play(replace(drawn, seed=seed))
+                self.assertEqual([], outcome.broken, "\n".join(outcome.trace[-300:]))
+                states = [outcome.states.get(number) for number in range(len(jobs))]
+                self.assertEqual(["succeeded"] * len(jobs), states)
+
+    def test_a_worker_begins_anew(self) -> None:
+        self.check(Kill(process="worker-0", at_s=0.8, for_s=0.0))
+
+    def test_both_begin_anew_twice_in_a_row(self) -> None:
+        self.check(
+            *(
+                Kill(process=worker, at_s=at_s + 0.013 * number, for_s=0.0)
+                for number, worker in enumerate(WORKERS)
+                for at_s in (0.7, 1.9, 2.05)
+            )
+        )
+
+    def test_it_begins_anew_while_its_agent_stands_still(self) -> None:
+        self.check(
+            Freeze(process="agent-0", at_s=0.7, for_s=0.9),
+            Kill(process="worker-0", at_s=0.9, for_s=0.0),
+        )
+
+    def test_it_begins_anew_while_its_agent_does(self) -> None:
+        self.check(
+            Kill(process="agent-0", at_s=0.7, for_s=0.3),
+            Kill(process="worker-0", at_s=0.8, for_s=0.0),
+        )
+
+    def test_it_begins_anew_as_its_connections_are_reset(self) -> None:
+        drops = (Drop(first="agent-0", second="worker-0", at_s=0.9 + 0.02 * n) for n in range(5))
+        self.check(Kill(process="worker-0", at_s=0.9, for_s=0.0), *drops)
+
+    def test_answers_come_late_around_it(self) -> None:
+        late = (
+            CallFault(
+                worker="worker-0",
+                kind=kind,
+                effect=CallEffect.ANSWERED_LATE,
+                at_s=0.7,
+                for_s=0.4,
+                delay_s=0.2,
+            )
+            for kind in ("start", "hold")
+        )
+        self.check(Kill(process="worker-0", at_s=0.9, for_s=0.0), *late)
+
+
+def _set_time_away(fault: Fault, away_s: float) -> Fault:
+    """Return a fault; a worker's end lasts this long."""
+    if isinstance(fault, Kill) and fault.process in WORKERS:
+        return replace(fault, for_s=away_s)
+    return fault
--- a/tests/histories/worker.py
+++ b/tests/histories/worker.py
@@ -18,7 +18,7 @@
 from dalemast.platform.wire import EXPECTED_LIFE_HEADER, ClockAnswer, HoldAnswer
 from dalemast.platform.worker import LOOK_PATH, START_PATH, STOP_PATH
 from tests.histories.base import CallEffect, CallFault
-from tests.histories.clock import ModelHost, Timeline
+from tests.histories.clock import EPOCH_S, ModelHost, Timeline
 from tests.histories.network import End
 
 __all__ = ["SERVICE", "ModelWorker", "StartedRun", "TaskText"]
@@ -33,7 +33,8 @@
 """Bounds on how long a sound worker takes for an answer."""
 KINDS = {START_PATH: "start", STOP_PATH: "stop", LOOK_PATH: "hold"}
 CLOCK_AHEAD_S = 5_000.0
-"""What the worker's clock shows more than the agent's at the beginning."""
+"""What the worker's clock shows more than the agent's at the beginning. A later life under the same
+id begins at 0, so that a moment on an earlier one's clock is far ahead."""
 
 
 class TaskText(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,6 +67,7 @@
         name: str,
         cpu: int,
         rate: float,
+        keeps_id: bool,
         timeline: Timeline,
         rng: random.Random,
         faults: list[CallFault],
@@ -77,7 +79,9 @@
         self._lives = 1
         self._cpu = cpu
         self._rate = rate
+        self._keeps_id = keeps_id
         self._began_at = timeline.now
+        self._clock_zero = timeline.now + CLOCK_AHEAD_S
         self._timeline = timeline
         self._rng = rng
         self._faults = faults
@@ -95,7 +99,7 @@
     def life(self) -> WorkerLife:
         """Its account of itself."""
         return WorkerLife(
-            id=f"i-{self.name}-{self._lives}",
+            id=self._wire_id,
             service=SERVICE,
             data_centre=DATA_CENTRE,
             capacity=Resources(cpu=self._cpu, memory_mb=65_536),
@@ -103,6 +107,16 @@
             is_leaving=False,
         )
 
+    @property
+    def _wire_id(self) -> str:
+        """The id that it reports under, and that calls name."""
+        return f"i-{self.name}" if self._keeps_id else f"i-{self.name}-{self._lives}"
+
+    @property
+    def _born(self) -> int | msgspec.UnsetType:
+        """When this life was born, in Unix milliseconds, or nothing while ids tell lives apart."""
+        return int((EPOCH_S + self._began_at) * 1000) if self._keeps_id else msgspec.UNSET
+
     @property
     def name(self) -> str:
         """Its name, which its life's id holds too."""
@@ -126,6 +140,9 @@
         self._runs = EmulatedRuns()
         self._ends_noted = 0
         self.host.is_up = False
+        if self._keeps_id:
+            self._began_at = self._timeline.now
+            self._clock_zero = 0.0
 
     def accept(self, end: End) -> None:
         """Take a connection."""
@@ -134,7 +151,7 @@
     def _now(self) -> float:
         """Return the worker's own clock."""
         passed_s = (self._timeline.now - self._began_at) * self._rate
-        return self._began_at + CLOCK_AHEAD_S + passed_s
+        return self._clock_zero + passed_s
 
     def _advance(self) -> None:
         self._runs.advance(self._now())
@@ -149,7 +166,7 @@
         path = lines[0].split(" ")[1]
         headers = dict(line.split(": ", 1) for line in lines[1:])
         call = msgspec.json.decode(body)
-        if headers.get(EXPECTED_LIFE_HEADER, self.life.id) != self.life.id:
+        if headers.get(EXPECTED_LIFE_HEADER, self._wire_id) != self._wire_id:
             _answer(end, 421, ClockAnswer())
             return
         kind = KINDS[path]
@@ -331,6 +348,7 @@
         now = self._now()
         answer = HoldAnswer(
             clock_ms=round(now * 1000),
+            born=self._born,
             running=tuple(
                 (task, run.order.run, "", run.get_percent(now))
                 for task, run in self._runs.active.items()
