--- a/dalemast/core/scheduling/crashes.py
+++ b/dalemast/core/scheduling/crashes.py
@@ -10,9 +10,14 @@
 alone. A task is given up once two workers have ended under it in the same way while it was the only
 suspect there, or once three have ended, however that was.
 
+A worker that falls silent, or whose agent does, may have crashed, or be cut off. Such an end counts
+only as unseen: it makes a task suspect, and five ends of either kind are the bound. It counts as
+seen once another life is there in its place, and not at all once that life is back.
+
 What is known of a task is a set of workers' lives, told by their agents to all entries and kept by
-the job's id. It only grows, whoever tells it, how often and in which order, for as long as the job
-is open and a while longer: an owner that is lost, or a caller that asks again, does not begin anew.
+the job's id. What was seen only grows, whoever tells it, how often and in which order, for as long
+as the job is open and a while longer: an owner that is lost, or a caller that asks again, does not
+begin anew.
 """
 
 from __future__ import annotations
@@ -30,6 +35,9 @@
 all that runs on a worker ends with it."""
 MOST_CRASHES = 3
 """Crashes after which any task is given up: the bound on what one may cost."""
+MOST_ENDS = 5
+"""The same with ends that nobody saw: the platform lets a task that crashes its workers be started
+twice more after its third crash, and all its ends may have been unseen ones."""
 SAME_AGE_S = 0.25
 """How far the ages may differ at which a task ends its workers: an agent finds its worker gone
 within a look. A bystander's differ by up to its run time."""
@@ -55,12 +63,14 @@
     """The end of one life of a worker under a task.
 
     ``age_s`` is how long the task had run, in seconds, or None where nobody saw it. ``is_sole``
-    tells that no other task there had been under a crash before.
+    tells that no other task there had been under a crash before, and ``is_seen`` that the worker's
+    process was found gone, or another life in its place.
     """
 
     life: str
     age_s: float | None
     is_sole: bool
+    is_seen: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -100,7 +110,8 @@
 
     def note(self, job_id: str, task: TaskKey, crash: Crash, *, now: float) -> bool:
         """Take in a crash; return whether it was news."""
-        if any(known.life == crash.life for known in self.get(job_id, task)):
+        before = next((c for c in self.get(job_id, task) if c.life == crash.life), None)
+        if before is not None and (before.is_seen or not crash.is_seen):
             return False
         known = self._jobs.pop(job_id, None) or JobCrashes(noted_at=now)
         known.noted_at = now
@@ -123,32 +134,46 @@
         known = self._jobs.get(job_id)
         if known is None:
             return False
-        lives = {life for crashes in known.tasks.values() for life in crashes}
+        crashes = (crash for ends in known.tasks.values() for crash in ends.values())
+        lives = {crash.life for crash in crashes if crash.is_seen}
         return len(lives) >= CRASHES_FOR_VERDICT
 
-    def get_suspicion(self, job_id: str, task: TaskKey, *, unseen: int) -> Suspicion:
-        """Return how a task is to be started.
-
-        ``unseen`` counts its runs that were out of reach until they were surely over. Workers may
-        have ended under them with their agents, which then tell of it seconds later, or never.
-        """
-        seen = len(self.get(job_id, task))
-        if not seen + unseen:
+    def get_suspicion(self, job_id: str, task: TaskKey) -> Suspicion:
+        """Return how a task is to be started."""
+        crashes = self.get(job_id, task)
+        if not crashes:
             return Suspicion.NONE
-        if seen and (seen + unseen >= CRASHES_FOR_VERDICT or self.is_job_suspect(job_id)):
-            return Suspicion.ALONE
-        return Suspicion.APART
+        is_one_seen = any(crash.is_seen for crash in crashes)
+        is_likely = len(crashes) >= CRASHES_FOR_VERDICT or self.is_job_suspect(job_id)
+        return Suspicion.ALONE if is_one_seen and is_likely else Suspicion.APART
 
     def is_guilty(self, job_id: str, task: TaskKey) -> bool:
         """Tell whether a task is to be given up."""
-        crashes = self.get(job_id, task)
-        if len(crashes) >= MOST_CRASHES:
+        ends = self.get(job_id, task)
+        crashes = [end for end in ends if end.is_seen]
+        if len(crashes) >= MOST_CRASHES or len(ends) >= MOST_ENDS:
             return True
         if len(crashes) < CRASHES_FOR_VERDICT or not any(crash.is_sole for crash in crashes):
             return False
         ages = [crash.age_s for crash in crashes if crash.age_s is not None]
         return not ages or max(ages) - min(ages) <= SAME_AGE_S
 
+    def list_unseen(self, life: str) -> list[CrashedTask]:
+        """Return the tasks under which this life may have ended, as ends that were seen by now."""
+        return [
+            CrashedTask(job_id=job_id, task=task, age_s=ends[life].age_s, is_sole=False)
+            for job_id, known in self._jobs.items()
+            for task, ends in known.tasks.items()
+            if life in ends and not ends[life].is_seen
+        ]
+
+    def clear_unseen(self, life: str) -> set[str]:
+        """Forget that a life may have ended, as it is there; return the jobs that it concerns."""
+        cleared = {(row.job_id, row.task) for row in self.list_unseen(life)}
+        for job_id, task in cleared:
+            del self._jobs[job_id].tasks[task][life]
+        return {job_id for job_id, _ in cleared}
+
     def tick(self, *, now: float) -> None:
         """Forget ended jobs whose last crash was long ago."""
         for job_id, known in list(self._jobs.items()):
--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -57,9 +57,6 @@
         """How often it was moved since its run was slow, though not standing still."""
         self.avoided: set[str] = set()
         self.suspicion = Suspicion.NONE
-        self.lost_on: set[str] = set()
-        """The workers' lives on which a run of it was presumed over, unseen: they may have crashed
-        under it."""
         self.free_at = 0.0
         """When a lost run has surely ended."""
 
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -184,12 +184,12 @@
 
         What ran there may have ended it while its agent was out of reach, or ended with it.
         """
-        tasks = [
+        lost = [
             CrashedTask(job_id=job.request.id, task=task.key, age_s=None, is_sole=False)
-            for job in self._jobs.values()
-            for task in job.tasks.values()
-            if life in task.lost_on or (task.worker == life and task.phase is TaskPhase.LOST)
+            for job, task in self._get_runs_on(life)
+            if task.phase is TaskPhase.LOST
         ]
+        tasks = [*lost, *self._crashes.list_unseen(life)]
         return self.note_crash(life, tasks, now=now) if tasks else []
 
     def reconcile(
@@ -199,7 +199,8 @@
 
         A run that the agent does not list is over. A listed run that is not wanted is stopped.
         """
-        self._clear_lost_on(name)
+        for job_id in self._crashes.clear_unseen(name) & self._jobs.keys():
+            self._set_suspicions(self._jobs[job_id])
         listed_runs = set(listed)
         actions: list[Action] = []
         wanted: set[tuple[str, TaskKey, int]] = set()
@@ -216,14 +217,16 @@
             actions.append(StopTask(worker=name, job_id=job_id, task=key, run=number))
         return actions + self.dispatch(now=now)
 
-    def note_crash(self, life: str, tasks: Iterable[CrashedTask], *, now: float) -> list[Action]:
+    def note_crash(
+        self, life: str, tasks: Iterable[CrashedTask], *, now: float, is_seen: bool = True
+    ) -> list[Action]:
         """Take in what ran on a crashed worker, whoever's it was and however often it is told.
 
-        That life is over, and with it the runs there.
+        What ran there is over. Without ``is_seen`` the worker may be cut off; its lease is over.
         """
         suspects: dict[str, Job] = {}
         for row in tasks:
-            crash = Crash(life=life, age_s=row.age_s, is_sole=row.is_sole)
+            crash = Crash(life=life, age_s=row.age_s, is_sole=row.is_sole, is_seen=is_seen)
             is_news = self._crashes.note(row.job_id, row.task, crash, now=now)
             job = self._jobs.get(row.job_id)
             if job is None:
@@ -294,12 +297,15 @@
         """Free lost runs whose time is over, refuse what waited too long, place the rest."""
         self._numbers.tick(now=now)
         self._crashes.tick(now=now)
-        freed = [
-            self._presume_over(job, task, now)
+        lost = [
+            (job, task)
             for job in self._jobs.values()
             for task in job.tasks.values()
             if task.phase is TaskPhase.LOST and now >= task.free_at
         ]
+        freed: list[Action] = [self._presume_over(job, task, now) for job, task in lost]
+        for job in {job.request.id: job for job, _ in lost}.values():
+            freed += self._judge(job, now)
         return [*freed, *self._refuse_overdue(now), *self.dispatch(now=now)]
 
     def dispatch(self, *, now: float) -> list[Action]:
@@ -365,9 +371,7 @@
         job_id = job.request.id
         if job_id not in self._crashes:
             return []
-        for task in job.tasks.values():
-            self._set_suspicion(job, task)
-        job.is_cautious = self._crashes.is_job_suspect(job_id)
+        self._set_suspicions(job)
         open_tasks = (key for key, task in job.tasks.items() if task.phase is not TaskPhase.DONE)
         guilty = next((key for key in open_tasks if self._crashes.is_guilty(job_id, key)), None)
         if guilty is None:
@@ -378,18 +382,11 @@
         stops = self._give_up(job)
         return [given_up, *stops, self._finish(job, JobState.FAILED, cause, now)]
 
-    def _clear_lost_on(self, life: str) -> None:
-        """Note that a worker which was out of reach has not crashed."""
-        for job in self._jobs.values():
-            for task in job.tasks.values():
-                if life in task.lost_on:
-                    task.lost_on.discard(life)
-                    self._set_suspicion(job, task)
-
-    def _set_suspicion(self, job: Job, task: Task) -> None:
-        task.suspicion = self._crashes.get_suspicion(
-            job.request.id, task.key, unseen=len(task.lost_on)
-        )
+    def _set_suspicions(self, job: Job) -> None:
+        job_id = job.request.id
+        job.is_cautious = self._crashes.is_job_suspect(job_id)
+        for key, task in job.tasks.items():
+            task.suspicion = self._crashes.get_suspicion(job_id, key)
 
     def _presume_over(self, job: Job, task: Task, now: float) -> RunPresumedOver:
         """Let a lost run's task wait for a worker again."""
@@ -402,8 +399,8 @@
         )
         job.leave_worker(task)
         job.set_waiting(task)
-        task.lost_on.add(over.worker)
-        self._set_suspicion(job, task)
+        unseen = Crash(life=over.worker, age_s=None, is_sole=False, is_seen=False)
+        self._crashes.note(job.request.id, task.key, unseen, now=now)
         return over
 
     def _refuse_overdue(self, now: float) -> list[Action]:
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -113,6 +113,11 @@
             return True
         return bool(self._runs or self._strays or not self._has_looked)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the worker has said that it leaves, so that its end is no crash."""
+        return self._acceptance.is_ending or (self.life is not None and self.life.is_leaving)
+
     @property
     def is_idle(self) -> bool:
         """Whether no owner's run is left."""
@@ -147,7 +152,7 @@
         """Tell whether starts are taken."""
         if self.life is None or not self._acceptance.allows(self.life):
             return False
-        if not self.is_settled or self._suspects.has_alone:
+        if not self.is_settled or self._suspects.has_alone(now=now):
             return False
         if self.get_lease_limit() - now < LEAST_LEASE_SHARE * self._limits.lease_s:
             # Something can't be stopped, so all that runs there may soon end with the lease.
@@ -254,7 +259,7 @@
             return [self._refuse(request, EndReason.NO_ROOM), ReportRoom()]
         self._runs[request.run_id] = Run(request=request, ordered_at=now)
         self._used += request.resources
-        self._suspects.add(request.run_id, request.suspicion)
+        self._suspects.add(request.run_id, request.suspicion, now=now)
         return [OrderStart(request=request), ReportRoom()]
 
     def take_outcome(
@@ -443,9 +448,7 @@
 
         One that is only silent may be cut off, and one that leaves ends as it was planned to.
         """
-        life = self.life
-        is_leaving = self._acceptance.is_ending or (life is not None and life.is_leaving)
-        return EndReason.CRASHED if is_process_gone and not is_leaving else EndReason.STOPPED
+        return EndReason.CRASHED if is_process_gone and not self.is_leaving else EndReason.STOPPED
 
     def _end_all(self, reason: EndReason) -> list[Action]:
         ends: list[Action] = [
--- a/dalemast/core/supervision/suspects.py
+++ b/dalemast/core/supervision/suspects.py
@@ -11,28 +11,38 @@
 __all__ = ["SuspectRuns", "list_crashed"]
 
 
+ALONE_S = 0.5
+"""How long nothing joins a task that is to be alone: twice as long as the ages differ at which one
+ends its workers. Held for whole run times, tasks of seconds would keep a worker from all others."""
+
+
 class SuspectRuns:
-    """The suspects among the runs of one worker. Owners see their own; the agent sees them all."""
+    """The suspects among the runs of one worker. Owners see their own; the agent sees them all.
+
+    Times are the agent's steady clock, in seconds.
+    """
 
     def __init__(self) -> None:
         self._runs: dict[RunId, Suspicion] = {}
+        self._alone_until = 0.0
 
     def __len__(self) -> int:
         return len(self._runs)
 
-    @property
-    def has_alone(self) -> bool:
-        """Whether one runs that nothing may be started beside."""
-        return Suspicion.ALONE in self._runs.values()
+    def has_alone(self, *, now: float) -> bool:
+        """Tell whether one runs that nothing may be started beside."""
+        return now < self._alone_until and Suspicion.ALONE in self._runs.values()
 
     def admits(self, suspicion: Suspicion) -> bool:
-        """Tell whether a task may join what runs: one to be alone joins no other suspect."""
-        return not self.has_alone and not (suspicion is Suspicion.ALONE and self._runs)
+        """Tell whether a task may join the suspects that run: one to be alone joins none."""
+        return not (suspicion is Suspicion.ALONE and self._runs)
 
-    def add(self, run_id: RunId, suspicion: Suspicion) -> None:
+    def add(self, run_id: RunId, suspicion: Suspicion, *, now: float) -> None:
         """Note a run that begins."""
         if suspicion:
             self._runs[run_id] = suspicion
+        if suspicion is Suspicion.ALONE:
+            self._alone_until = now + ALONE_S
 
     def remove(self, run_id: RunId) -> None:
         """Note a run that has ended."""
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -29,6 +29,7 @@
     Beat,
     Bye,
     ClockAnswer,
+    Crashed,
     EntriesAsk,
     EntryHello,
     EntryMessage,
@@ -136,10 +137,18 @@
             log_event("entry:lost", entry=name, runs=self._count_runs(session))
             self._relay.tell_changes()
 
-    def report_crash(self, worker: str, tasks: tuple[CrashedTask, ...]) -> None:
-        """Tell all entries what ran on a life of the worker that has crashed."""
-        crashed = make_crashed(worker, tasks)
+    def report_crash(self, worker: str, tasks: tuple[CrashedTask, ...], *, is_seen: bool) -> None:
+        """Tell all entries what ran on a life of the worker that has crashed, or fallen silent."""
+        crashed = make_crashed(worker, tasks, is_seen=is_seen)
         self._crashes.add(crashed)
+        self._tell_crash(crashed)
+
+    def note_worker_there(self, life: str) -> None:
+        """Note that a life of the worker answers; one that had fallen silent before has ended."""
+        for crashed in self._crashes.note_there(life):
+            self._tell_crash(crashed)
+
+    def _tell_crash(self, crashed: Crashed) -> None:
         for session in self._sessions.values():
             session.link.send(crashed)
 
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -160,6 +160,7 @@
         return self._supervisor.has_work or time.monotonic() - self._looked_at > IDLE_LOOK_S
 
     async def _look(self) -> None:
+        assert self._owners is not None
         is_waiting = bool(self._supervisor.runs)
         self._looked_at = time.monotonic()
         plan = self._looks.plan(has_runs=is_waiting, now=self._looked_at)
@@ -182,6 +183,9 @@
         now = time.monotonic()
         self._looks.note_answer(now=now)
         self._refused = 0
+        life = self._supervisor.life
+        if life is not None:
+            self._owners.note_worker_there(life.id)
         actions = self._supervisor.look(look.running, look.ended, asked_at=look.asked_at, now=now)
         self.apply(actions)
         if not is_waiting and self._supervisor.has_work:
@@ -212,25 +216,29 @@
         """Let the supervisor give a life up, and address calls to the one it believes in then."""
         before = self._supervisor.life
         runs = list(self._supervisor.runs.values())
+        is_planned = self._supervisor.is_leaving
         actions = change()
         after = self._supervisor.life
         if before is not None and (after is None or after.id != before.id):
-            self._note_gone(before, runs, actions)
+            has_crashed = any(
+                isinstance(action, ReportEnd) and action.reason is EndReason.CRASHED
+                for action in actions
+            )
+            self._note_gone(before, runs, has_crashed=has_crashed, is_planned=is_planned)
         self._follow_life()
         self.apply(actions)
 
-    def _note_gone(self, life: WorkerLife, runs: list[Run], actions: list[Action]) -> None:
+    def _note_gone(
+        self, life: WorkerLife, runs: list[Run], *, has_crashed: bool, is_planned: bool
+    ) -> None:
         """Tell how a life ended, and what ran on it: one of its tasks may have ended it."""
         assert self._owners is not None
         now = time.monotonic()
-        has_crashed = any(
-            isinstance(action, ReportEnd) and action.reason is EndReason.CRASHED
-            for action in actions
-        )
         self._metrics.count("workers.crashed" if has_crashed else "workers.gone")
-        if has_crashed:
+        if runs and not is_planned:
             # Before the ends of the runs, which let their owners start the tasks anew.
-            self._owners.report_crash(life.id, list_crashed(runs, now=now))
+            tasks = list_crashed(runs, now=now)
+            self._owners.report_crash(life.id, tasks, is_seen=has_crashed)
         log_event(
             "worker:gone",
             worker=life.id,
--- a/dalemast/fleet/crashes.py
+++ b/dalemast/fleet/crashes.py
@@ -5,6 +5,8 @@
 from collections import deque
 from collections.abc import Iterable
 
+import msgspec
+
 from dalemast.core.scheduling import CrashedTask
 from dalemast.core.workloads import TaskKey
 from dalemast.fleet.frames import Crashed, CrashedRow
@@ -32,13 +34,35 @@
 
     def add(self, crashed: Crashed) -> None:
         """Remember a crash; the oldest one goes."""
+        self._drop(crashed.worker)
         self._crashes.append(crashed)
 
+    def note_there(self, life: str) -> list[Crashed]:
+        """Note that a life answers: return the others that were silent, which have ended.
+
+        If it was silent itself, it has not.
+        """
+        ended = [
+            msgspec.structs.replace(known, is_seen=True)
+            for known in self._crashes
+            if not known.is_seen and known.worker != life
+        ]
+        for crashed in ended:
+            self.add(crashed)
+        if any(not known.is_seen for known in self._crashes):
+            self._drop(life)
+        return ended
+
+    def _drop(self, life: str) -> None:
+        kept = [known for known in self._crashes if known.worker != life]
+        self._crashes = deque(kept, maxlen=MAX_CRASHES)
+
 
-def make_crashed(worker: str, tasks: Iterable[CrashedTask]) -> Crashed:
+def make_crashed(worker: str, tasks: Iterable[CrashedTask], *, is_seen: bool = True) -> Crashed:
     """Return the message on a crash."""
     return Crashed(
         worker=worker,
+        is_seen=is_seen,
         tasks=tuple(
             CrashedRow(
                 job=row.job_id,
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -322,13 +322,14 @@
         """Take in a crash, and tell the peers of the tasks that this entry owns."""
         own = tuple(row for row in news.tasks if row.job in self._scheduler.open_jobs)
         if own:
-            self._tell_peers(Crashed(worker=news.worker, tasks=own))
+            self._tell_peers(Crashed(worker=news.worker, tasks=own, is_seen=news.is_seen))
         self.take_crash(news)
 
     def take_crash(self, news: Crashed) -> None:
         """Take in a crash that an agent or a peer tells of."""
         now = time.monotonic()
-        self._apply(self._scheduler.note_crash(news.worker, read_crashed(news), now=now))
+        tasks = read_crashed(news)
+        self._apply(self._scheduler.note_crash(news.worker, tasks, now=now, is_seen=news.is_seen))
 
     def _end_run(self, session: AgentSession, news: RunEnded) -> None:
         row = news.run
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -250,6 +250,8 @@
 
     worker: str
     tasks: tuple[CrashedRow, ...]
+    is_seen: bool = True
+    """False if the worker is only silent, and its lease over."""
 
 
 class RunEnded(Message, frozen=True, tag="E"):
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -20,6 +20,7 @@
 from dalemast.core.scheduling.crashes import (
     MAX_ENDED,
     MOST_CRASHES,
+    MOST_ENDS,
     REMEMBERED_S,
     SAME_AGE_S,
     CrashRecords,
@@ -44,8 +45,8 @@
 )
 
 
-def make_crash(life: str, *, age_s: float | None = 0.03, is_sole: bool = False) -> Crash:
-    return Crash(life=life, age_s=age_s, is_sole=is_sole)
+def make_crash(life: str, *, age_s: float | None = 0.03, **fields: bool) -> Crash:
+    return Crash(**{"life": life, "age_s": age_s, "is_sole": False, **fields})
 
 
 class RecordTests(testtools.TestCase):
@@ -84,13 +85,36 @@
         for position in range(2):
             task = TaskKey(0, position)
             self.records.note("open", task, make_crash(f"i-{position}"), now=1.0)
-        self.assertIs(Suspicion.ALONE, self.records.get_suspicion("open", TASK, unseen=0))
+        self.assertIs(Suspicion.ALONE, self.records.get_suspicion("open", TASK))
 
     def test_a_run_that_nobody_saw_end_makes_a_second_crash_more_likely(self) -> None:
-        self.assertIs(Suspicion.APART, self.records.get_suspicion("open", TASK, unseen=1))
+        self.note(make_crash("i-1", is_seen=False))
+        self.assertIs(Suspicion.APART, self.records.get_suspicion("open", TASK))
+        self.note(make_crash("i-2"))
+        self.assertIs(Suspicion.ALONE, self.records.get_suspicion("open", TASK))
+
+    def test_ends_that_nobody_saw_are_no_proof_until_they_are_as_many_as_allowed(self) -> None:
+        """Workers that are cut off again and again look the same."""
+        for number in range(MOST_ENDS - 1):
+            self.note(make_crash(f"i-{number}", age_s=None, is_seen=False))
+            self.assertIs(Suspicion.APART, self.records.get_suspicion("open", TASK))
+        self.assertFalse(self.records.is_guilty("open", TASK))
+        self.assertTrue(self.is_guilty(make_crash("i-9", age_s=None, is_seen=False)))
+
+    def test_an_end_that_is_seen_later_counts_once(self) -> None:
+        self.note(make_crash("i-1", is_seen=False))
+        self.assertEqual([TASK], [row.task for row in self.records.list_unseen("i-1")])
         self.note(make_crash("i-1"))
-        self.assertIs(Suspicion.APART, self.records.get_suspicion("open", TASK, unseen=0))
-        self.assertIs(Suspicion.ALONE, self.records.get_suspicion("open", TASK, unseen=1))
+        self.assertEqual([], self.records.list_unseen("i-1"))
+        self.note(make_crash("i-1", is_seen=False))
+        (crash,) = self.records.get("open", TASK)
+        self.assertTrue(crash.is_seen)
+
+    def test_a_life_that_is_back_has_not_ended(self) -> None:
+        self.note(make_crash("i-1", is_seen=False), make_crash("i-2"))
+        self.assertEqual({"open"}, self.records.clear_unseen("i-1"))
+        self.assertEqual(set(), self.records.clear_unseen("i-2"))
+        self.assertEqual(["i-2"], [crash.life for crash in self.records.get("open", TASK)])
 
     def test_an_open_job_is_never_forgotten_and_an_ended_one_after_a_while(self) -> None:
         self.note(make_crash("i-1"))
@@ -115,14 +139,14 @@
         records = CrashRecords(open_jobs={"open"})
         known: set[str] = set()
         for number, crash in enumerate(crashes):
-            before = records.get_suspicion("open", TASK, unseen=0)
+            before = records.get_suspicion("open", TASK)
             was_over = len(known) >= MOST_CRASHES
             now = sum(seconds[: number + 1])
             self.assertEqual(crash.life not in known, records.note("open", TASK, crash, now=now))
             records.tick(now=now)
             known.add(crash.life)
             self.assertEqual(len(known), len(records.get("open", TASK)))
-            self.assertLessEqual(before, records.get_suspicion("open", TASK, unseen=0))
+            self.assertLessEqual(before, records.get_suspicion("open", TASK))
             if was_over or len(known) >= MOST_CRASHES:
                 self.assertTrue(records.is_guilty("open", TASK))
 
@@ -246,6 +270,15 @@
         (finished,) = get_finished(self.crash(second, is_sole=True))
         self.assertIs(JobState.FAILED, finished.state)
 
+    def test_an_end_that_nobody_saw_counts_once(self) -> None:
+        self.add_workers(3)
+        (first,) = get_starts(self.submit("a"))
+        self.scheduler.lose_worker(first.worker, now=10.1)
+        (second,) = get_starts(self.scheduler.tick(now=10.1 + LOST_RUN_S))
+        self.scheduler.note_replaced(first.worker, now=13.0)
+        (third,) = get_starts(self.end(second, EndReason.STOPPED, now=13.1))
+        self.assertIs(Suspicion.APART, third.suspicion)
+
     def test_a_worker_that_was_out_of_reach_and_is_back_has_not_crashed(self) -> None:
         self.add_workers(3)
         (first,) = get_starts(self.submit("a"))
--- a/tests/core/supervision/test_suspects.py
+++ b/tests/core/supervision/test_suspects.py
@@ -6,6 +6,7 @@
 
 from dalemast.core.scheduling import EndReason, Suspicion
 from dalemast.core.supervision import OrderStart, ReportEnd, list_crashed
+from dalemast.core.supervision.suspects import ALONE_S
 from tests.core.supervision.test_supervisor import SupervisorTestCase, make_start, pick
 
 
@@ -39,6 +40,11 @@
         self.assertFalse(self.begin("c"))
         self.assertFalse(self.supervisor.is_accepting(now=1.0))
 
+    def test_starts_are_taken_again_once_it_has_run_longer_than_crashes_take(self) -> None:
+        self.assertTrue(self.begin("a", Suspicion.ALONE))
+        self.assertFalse(self.supervisor.is_accepting(now=1.0 + 0.9 * ALONE_S))
+        self.assertTrue(self.supervisor.is_accepting(now=1.0 + ALONE_S))
+
     def test_starts_are_taken_again_once_it_has_ended(self) -> None:
         run_id = self.run_task(replace(make_start("a"), suspicion=Suspicion.ALONE))
         self.look(now=3.0)
