--- a/dalemast/emulator/worker.py
+++ b/dalemast/emulator/worker.py
@@ -18,6 +18,7 @@
 from dalemast.emulator.runs import EmulatedRuns, Order
 from dalemast.http.client import HttpFailure, JsonClient
 from dalemast.http.server import bind_address, log_nothing
+from dalemast.platform.lives import make_life_id
 from dalemast.platform.wire import (
     EXPECTED_LIFE_HEADER,
     CapacityBody,
@@ -34,6 +35,10 @@
 _numbers = itertools.count(1)
 """Numbers of the workers of this process: no two lives may share an id."""
 DEFAULT_RUN_S = 0.1
+CLOCK_AHEAD_S = 1000.0
+"""How far a worker's clock is ahead of its agent's, where it does not begin anew with each life."""
+BACK_S = 2.5
+"""When a worker is back that a task has made crash; from the platform's days."""
 VERSION = "v1"
 SLOTS = 8
 MEMORY_MB = 65536
@@ -93,7 +98,7 @@
     async def post(self) -> None:
         """Serve the call unless it is meant for another life."""
         expected = self.request.headers.get(EXPECTED_LIFE_HEADER)
-        if expected not in (None, self._worker.life_id):
+        if expected not in (None, self._worker.worker_id):
             self.set_status(421)
             self.finish(b"{}")
             return
@@ -104,9 +109,22 @@
 
 
 class EmulatedWorker:
-    """One worker. A task's text is ``{"run_s": ...}`` or anything else for the default."""
+    """One worker. A task's text is ``{"run_s": ...}`` or anything else for the default.
 
-    def __init__(self, *, address: str, report_to: str, service: str, zone: str, cpu: int) -> None:
+    With ``"crash_s"`` in it the worker crashes that long after the task's start, and is back after
+    :data:`BACK_S`. With ``keeps_id`` all lives have one id, and say when they were born.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        report_to: str,
+        service: str,
+        zone: str,
+        cpu: int,
+        keeps_id: bool = False,
+    ) -> None:
         self._report_to = report_to
         self._service = service
         self._zone = zone
@@ -114,7 +132,12 @@
         self._address = address
         self._number = next(_numbers)
         self._lives = 0
-        self._life_id = ""
+        self._keeps_id = keeps_id
+        self._worker_id = ""
+        self._born = 0
+        self._clock_zero = 0.0
+        self._is_down = True
+        self._crashes: set[asyncio.Task[None]] = set()
         self._beats = 0
         self._runs = EmulatedRuns()
         self._done: set[str] = set()
@@ -132,13 +155,31 @@
         """Every run that was started, in order: task and run."""
         self.on_start: Callable[[str], None] = lambda task: None
         """Called with each task that is started."""
+        self.on_crash: Callable[[set[str]], None] = lambda tasks: None
+        """Called with all that runs as a task makes this worker crash."""
+        self.is_closed = False
+        """Whether it stays down."""
         self.on_call: Callable[[CallRecord], None] = lambda record: None
         """Called with each call as it arrives, and again once it was carried out."""
 
+    @property
+    def worker_id(self) -> str:
+        """The id that the present life reports under, and that calls name."""
+        return self._worker_id
+
     @property
     def life_id(self) -> str:
-        """The id of the present life."""
-        return self._life_id
+        """What agents call the present life."""
+        return make_life_id(self._worker_id, self._told_born)
+
+    @property
+    def is_down(self) -> bool:
+        """Whether no life goes on."""
+        return self._is_down
+
+    @property
+    def _told_born(self) -> int | msgspec.UnsetType:
+        return self._born if self._keeps_id else msgspec.UNSET
 
     @property
     def active_tasks(self) -> set[str]:
@@ -159,7 +200,15 @@
     def start(self) -> None:
         """Begin a life: listen and report."""
         self._lives += 1
-        self._life_id = f"i-{self._service}-{self._number}-{self._lives}"
+        self._is_down = False
+        self._worker_id = f"i-{self._service}-{self._number}"
+        if self._keeps_id:
+            self._born = max(self._born + 1, int(time.time() * 1000))
+            self._clock_zero = time.monotonic()
+            self._beats = 0
+        else:
+            self._worker_id += f"-{self._lives}"
+            self._clock_zero = -CLOCK_AHEAD_S
         self._runs = EmulatedRuns()
         routes = [
             (START_PATH, CallHandler, {"worker": self, "kind": CallKind.START}),
@@ -173,6 +222,7 @@
 
     async def crash(self) -> None:
         """End the life at once, with everything that runs."""
+        self._is_down = True
         self._done |= self._runs.done
         self._runs = EmulatedRuns()
         for task in self._tasks:
@@ -203,6 +253,7 @@
             state=WorkerState(self.state),
             cold_left_ms=0.0,
             seq=self._beats,
+            born=self._told_born,
             capacity=CapacityBody(cpu=self._cpu, memory_mb=MEMORY_MB),
             labels=("a", "r1"),
             clock_ms=round(self._now() * 1000),
@@ -210,7 +261,7 @@
 
     def _now(self) -> float:
         """Return the worker's own clock, which counts from elsewhere than the agent's."""
-        return time.monotonic() + 1000.0
+        return time.monotonic() - self._clock_zero
 
     async def _beat_forever(self) -> None:
         while True:
@@ -218,7 +269,7 @@
             await asyncio.sleep(0.3)
 
     async def _beat(self) -> None:
-        url = f"http://{self._report_to}/v1/Instances.Heartbeat/{self._life_id}"
+        url = f"http://{self._report_to}/v1/Instances.Heartbeat/{self._worker_id}"
         body = self.make_report()
         try:
             await self._client.request("POST", url, body=body, timeout_s=REPORT_TIMEOUT_S)
@@ -274,7 +325,7 @@
             run=call["run"],
             until_s=call["until_ms"] / 1000,
             fence=call["fence"],
-            run_s=_read_run_s(call["spec"]) * self._faults.slow,
+            run_s=_read_number(call["spec"], "run_s", DEFAULT_RUN_S) * self._faults.slow,
             fails=self._random.random() < self._faults.fail,
             stands_still=self._random.random() < self._faults.stand_still,
         )
@@ -284,8 +335,28 @@
         if not reason and not was_active:
             self.started.append((order.task, order.run))
             self.on_start(order.task)
+            self._plan_crash(call["spec"], order.task)
         return (409 if reason else 200), self._make_answer(reason)
 
+    def _plan_crash(self, text: str, task: str) -> None:
+        crash_s = _read_number(text, "crash_s", float("inf"))
+        if crash_s == float("inf"):
+            return
+        crash = asyncio.ensure_future(self._crash_under(task, crash_s, self._lives))
+        self._crashes.add(crash)
+        crash.add_done_callback(self._crashes.discard)
+
+    async def _crash_under(self, task: str, crash_s: float, life: int) -> None:
+        """Crash if a task still runs after a while, and come back."""
+        await asyncio.sleep(crash_s)
+        if self._lives != life or self._is_down or task not in self.active_tasks:
+            return
+        self.on_crash(self.active_tasks)
+        await self.crash()
+        await asyncio.sleep(BACK_S)
+        if self._is_down and not self.is_closed:
+            self.start()
+
     async def _stop_run(self, call: dict[str, Any]) -> tuple[int, ClockAnswer]:
         if self._random.random() < self._faults.lost_stops:
             await asyncio.sleep(UNANSWERED_S)
@@ -311,6 +382,7 @@
         now = self._now()
         return 200, HoldAnswer(
             clock_ms=round(now * 1000),
+            born=self._told_born,
             running=tuple(
                 (task, run.order.run, "", run.get_percent(now))
                 for task, run in self._runs.active.items()
@@ -327,8 +399,9 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _read_run_s(text: str) -> float:
+def _read_number(text: str, name: str, default: float) -> float:
+    """Return a number of a task's text."""
     try:
-        return float(msgspec.json.decode(text)["run_s"])
+        return float(msgspec.json.decode(text)[name])
     except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
-        return DEFAULT_RUN_S
+        return default
--- a/dalemast/http/direct.py
+++ b/dalemast/http/direct.py
@@ -12,21 +12,39 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from dalemast.http.connections import KeptConnection
 from dalemast.http.messages import HttpFailure, JsonResponse, encode_body
 
-__all__ = ["DirectClient"]
+__all__ = ["DirectClient", "Greeting"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Greeting:
+    """The call that each connection begins with, to find out who is at its other end.
+
+    ``accept`` gets the response; what it raises ends the connection and the call that wanted it.
+    """
+
+    path: str
+    body: object
+    headers: dict[str, str]
+    accept: Callable[[JsonResponse], None]
 
 
 class DirectClient:
     """Calls one address. ``max_connections`` bounds how many calls are under way at a time."""
 
-    def __init__(self, *, address: str, max_connections: int) -> None:
+    def __init__(
+        self, *, address: str, max_connections: int, greeting: Greeting | None = None
+    ) -> None:
         self._address = address
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._max_connections = max_connections
+        self._greeting = greeting
         self._idle: list[KeptConnection] = []
         self._open = 0
         """Connections that are idle, in use or being opened."""
@@ -119,8 +137,20 @@
         except asyncio.CancelledError:
             self._drop_opening()
             raise
+        if self._greeting is not None:
+            await self._greet(connection, self._greeting, over_at)
         return connection
 
+    async def _greet(self, connection: KeptConnection, greeting: Greeting, over_at: float) -> None:
+        """Make sure of who is at the other end before anything else is said there."""
+        body = encode_body(greeting.body) or b""
+        data = self._make_request("POST", greeting.path, body, greeting.headers)
+        try:
+            greeting.accept(await connection.exchange(data, over_at))
+        except BaseException:
+            connection.abort()
+            raise
+
     def _drop_opening(self) -> None:
         self._open -= 1
         self._wake_next()
--- a/dalemast/platform/lines.py
+++ b/dalemast/platform/lines.py
@@ -10,8 +10,11 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from dalemast.core.workloads import Resources
 from dalemast.platform.foreign import Fault, ForeignInput
+from dalemast.platform.lives import read_life_id
 
 __all__ = ["Account", "ReportLine", "ReportLines"]
 
@@ -59,6 +62,17 @@
     since: float
 
 
+def count_rival(
+    rival: Rival | None, account: Account, number: int, *, now: float
+) -> tuple[bool, Rival]:
+    """Note a report that does not go on from the believed ones; tell whether it is to be by now."""
+    if rival is None or rival.account != account or number <= rival.number:
+        return False, Rival(account=account, number=number, count=1, since=now)
+    count = rival.count + 1
+    known = Rival(account=account, number=number, count=count, since=rival.since)
+    return count >= RIVAL_REPORTS and now - rival.since >= RIVAL_S, known
+
+
 class ReportLine:
     """The reports of one life. Times are the agent's steady clock, in seconds."""
 
@@ -96,13 +110,8 @@
 
     def _replaces(self, account: Account, number: int, now: float) -> bool:
         """Note a report that does not go on from the last; tell whether it is to be believed."""
-        rival = self._rival
-        if rival is None or rival.account != account or number <= rival.number:
-            self._rival = Rival(account=account, number=number, count=1, since=now)
-            return False
-        count = rival.count + 1
-        self._rival = Rival(account=account, number=number, count=count, since=rival.since)
-        return count >= RIVAL_REPORTS and now - rival.since >= RIVAL_S
+        is_believed, self._rival = count_rival(self._rival, account, number, now=now)
+        return is_believed
 
     def _believe(self, account: Account, number: int, now: float) -> None:
         self._account = account
@@ -116,6 +125,8 @@
 
     def __init__(self) -> None:
         self._lines: dict[str, ReportLine] = {}
+        self._unborn: Rival | None = None
+        """Reports in a row under an id whose lives say when they were born, which do not."""
 
     def __len__(self) -> int:
         return len(self._lines)
@@ -126,6 +137,7 @@
         """Return whether a report is news; raises :class:`ForeignInput` if it is foreign."""
         line = self._lines.get(life_id)
         if line is None:
+            self._check_birth(life_id, account, number, now)
             line = self._add(life_id, account, number, now)
         elif not line.take(account, number, now=now):
             return False
@@ -137,11 +149,30 @@
         line = self._lines.get(life_id)
         return line is not None and line.is_replaced
 
-    def check_end(self, life_id: str) -> None:
-        """Raise :class:`ForeignInput` unless this life has said that it leaves."""
-        line = self._lines.get(life_id)
-        if line is None or not line.is_leaving:
-            raise ForeignInput(Fault.NOT_ANNOUNCED, "unknown" if line is None else "not leaving")
+    def find_leaving(self, worker_id: str) -> str:
+        """Return the life under this id that has said that it leaves, the one heard last.
+
+        A goodbye does not tell which of them it is. Raises :class:`ForeignInput` if there is none.
+        """
+        lives = [life_id for life_id in self._lines if read_life_id(life_id)[0] == worker_id]
+        leaving = [life_id for life_id in lives if self._lines[life_id].is_leaving]
+        if not leaving:
+            raise ForeignInput(Fault.NOT_ANNOUNCED, "not leaving" if lives else "unknown")
+        return max(leaving, key=lambda life_id: self._lines[life_id].heard_at)
+
+    def _check_birth(self, life_id: str, account: Account, number: int, now: float) -> None:
+        """Raise :class:`ForeignInput` for a life that does not say when it was born, but others do.
+
+        It is believed if it goes on, since those others may be another writer's.
+        """
+        worker_id, born_ms = read_life_id(life_id)
+        if born_ms is not msgspec.UNSET:
+            return
+        if not any(read_life_id(known)[0] == worker_id for known in self._lines):
+            return
+        is_believed, self._unborn = count_rival(self._unborn, account, number, now=now)
+        if not is_believed:
+            raise ForeignInput(Fault.FIELD_MISSING, "born")
 
     def _add(self, life_id: str, account: Account, number: int, now: float) -> ReportLine:
         if len(self._lines) >= MAX_LINES:
--- a/dalemast/platform/registration.py
+++ b/dalemast/platform/registration.py
@@ -16,6 +16,7 @@
 from dalemast.observability import Metrics, RefusalLog
 from dalemast.platform.foreign import ForeignInput, check_id, read_report
 from dalemast.platform.lines import Account, ReportLines
+from dalemast.platform.lives import make_life_id
 from dalemast.platform.wire import Heartbeat, WorkerState
 from dalemast.settings import FleetAgentSettings
 
@@ -105,30 +106,29 @@
         self._server.stop()
         await self._server.close_all_connections()
 
-    def take(self, life_id: str, data: bytes) -> None:
+    def take(self, worker_id: str, data: bytes) -> None:
         """Pass a report on unless a newer one has arrived; raises :class:`ForeignInput`."""
-        check_id(life_id)
+        check_id(worker_id)
         beat = read_report(
             data,
             address=self._settings.worker.address,
             data_centre=self._settings.data_centre,
         )
-        life = _make_life(life_id, beat)
+        life = _make_life(make_life_id(worker_id, beat.born), beat)
         account = Account(service=life.service, capacity=life.capacity, labels=life.labels)
         is_news = self._lines.take(
-            life_id, account, beat.seq, is_leaving=life.is_leaving, now=time.monotonic()
+            life.id, account, beat.seq, is_leaving=life.is_leaving, now=time.monotonic()
         )
         if not is_news:
             return
-        if self._lines.is_replaced(life_id):
+        if self._lines.is_replaced(life.id):
             # What was said under this id before was another writer's, a goodbye among it.
-            self._observer.restore_life(life_id)
+            self._observer.restore_life(life.id)
         self._observer.meet_life(life)
 
-    def take_end(self, life_id: str) -> None:
+    def take_end(self, worker_id: str) -> None:
         """Pass on that a worker ends which has said that it leaves; or :class:`ForeignInput`."""
-        self._lines.check_end(life_id)
-        self._observer.lose_life(life_id)
+        self._observer.lose_life(self._lines.find_leaving(worker_id))
 
     def note_foreign(self, life_id: str, refusal: ForeignInput, *, sender: str) -> None:
         """Count and log what was not taken. ``sender`` is the IP number that it came from."""
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -23,9 +23,10 @@
 from dalemast.core.workloads import TaskKey
 from dalemast.fleet.base import BaseWorkerDriver, Look, WorkerGone, WorkerReplaced, WorkerUnanswered
 from dalemast.fleet.timing import WORKER_CLOCK_ERROR, WORKER_CLOCK_STRETCH
-from dalemast.http.direct import DirectClient
+from dalemast.http.direct import DirectClient, Greeting
 from dalemast.http.messages import HttpFailure, JsonResponse
 from dalemast.observability import log_event
+from dalemast.platform.lives import read_life_id
 from dalemast.platform.wire import (
     EXPECTED_LIFE_HEADER,
     ClockAnswer,
@@ -64,14 +65,30 @@
 """All other words (stopped, lapsed, broken, alone) say that the run did not come to its end."""
 
 
+class OtherLife(HttpFailure):
+    """Another life of the worker is at the other end of a connection; it was told nothing."""
+
+    def __init__(self) -> None:
+        super().__init__("another life answers", is_unreachable=True)
+
+
 class PlatformWorkerDriver(BaseWorkerDriver):
-    """One worker. Its clock is followed by what its answers say."""
+    """One worker. Its clock is followed by what its answers say.
+
+    A call names the worker's id, which its next life may have too: its clock and its numbers of
+    ends begin anew, so that a lease or an end that is taken note of means something else there. So
+    each connection begins with a look that shows which life is at its other end, and carries calls
+    for that one alone.
+    """
 
     def __init__(self, *, settings: FleetAgentSettings, lease_s: float) -> None:
         self._lease_s = lease_s
-        address = settings.worker.address
-        self._orders = DirectClient(address=address, max_connections=ORDER_CONNECTIONS)
-        self._looks = DirectClient(address=address, max_connections=1)
+        self._address = settings.worker.address
+        self._life_id = ""
+        self._is_greeting = False
+        """Whether connections begin with a look, since lives may share an id."""
+        self._orders = self._make_client(ORDER_CONNECTIONS, greeting=None)
+        self._looks = self._make_client(1, greeting=None)
         # Of all tokens that this host's agents ever sent, the newest life's must be the highest:
         # the time of day rises from one life to the next, and _raise_fence mends what steps spoil.
         self._fence = int(time.time() * 1000)
@@ -90,7 +107,13 @@
 
     def meet(self, life: WorkerLife) -> None:
         """Address all further calls to this life."""
-        self._headers = {EXPECTED_LIFE_HEADER: life.id}
+        worker_id, _ = read_life_id(life.id)
+        if self._life_id:
+            # Bars what was said to an earlier life under this id and arrives only now.
+            self._fence += 1
+        self._life_id = life.id
+        self._headers = {EXPECTED_LIFE_HEADER: worker_id}
+        self._open_clients()
         self._clock = LeastLead(drift=WORKER_CLOCK_ERROR)
         self._ends_seen = 0
 
@@ -101,8 +124,9 @@
         later life, since its owner is told that it ended with the life it was meant for. Each try
         asks anew how long the run is kept alive: this process may have stood still since the last.
         """
-        headers = self._headers
+        headers, orders = self._headers, self._orders
         is_fresh = False
+        may_have_arrived = False
         for timeout_s in START_TIMEOUTS_S:
             lease_end = self._lease.join(now=time.monotonic(), limit=get_limit())
             if lease_end is None:
@@ -115,25 +139,41 @@
                 fence=self._fence,
             )
             try:
-                response = await self._call(START_PATH, call, timeout_s, headers, is_fresh=is_fresh)
-            except HttpFailure:
+                response = await orders.request(
+                    "POST",
+                    START_PATH,
+                    body=call,
+                    headers=headers,
+                    timeout_s=timeout_s,
+                    is_fresh=is_fresh,
+                )
+            except HttpFailure as failure:
                 # Counted and logged by the caller once all tries are over.
                 is_fresh = True
+                may_have_arrived |= not failure.is_unreachable
                 continue
             outcome = self._read_start(response, headers)
             if outcome is StartOutcome.FENCED:
                 continue
-            if is_fresh and outcome not in SURE_AFTER_SILENCE:
+            if may_have_arrived and outcome not in SURE_AFTER_SILENCE:
                 return StartOutcome.UNANSWERED
             return outcome
-        return StartOutcome.UNANSWERED if is_fresh else StartOutcome.EXPIRED
+        if may_have_arrived:
+            return StartOutcome.UNANSWERED
+        # Nothing listened, or another life did: no worker has seen the order.
+        return StartOutcome.REJECTED if is_fresh else StartOutcome.EXPIRED
 
     async def stop(self, run_id: RunId) -> bool:
         """Order a stop; return whether it was answered."""
         call = StopCall(task=_name_task(run_id), run=run_id.run, fence=self._fence)
         try:
-            response = await self._call(
-                STOP_PATH, call, STOP_TIMEOUT_S, self._headers, is_fresh=self._was_stop_unanswered
+            response = await self._orders.request(
+                "POST",
+                STOP_PATH,
+                body=call,
+                headers=self._headers,
+                timeout_s=STOP_TIMEOUT_S,
+                is_fresh=self._was_stop_unanswered,
             )
         except HttpFailure as failure:
             self._was_stop_unanswered = True
@@ -164,6 +204,8 @@
                 headers=headers,
                 timeout_s=plan.wait_s + plan.slack_s,
             )
+        except OtherLife as failure:
+            raise WorkerReplaced(failure.message) from failure
         except HttpFailure as failure:
             if failure.is_unreachable:
                 raise WorkerGone(failure.message) from failure
@@ -177,23 +219,41 @@
             raise WorkerUnanswered(f"status {response.status}")
         return self._read_look(response, asked_at)
 
-    async def _call(
-        self,
-        path: str,
-        body: msgspec.Struct,
-        timeout_s: float,
-        headers: dict[str, str],
-        *,
-        is_fresh: bool,
-    ) -> JsonResponse:
-        return await self._orders.request(
-            "POST",
-            path,
-            body=body,
-            headers=headers,
-            timeout_s=timeout_s,
-            is_fresh=is_fresh,
-        )
+    def _open_clients(self) -> None:
+        """Open connections to the life that was met, and close those to another one.
+
+        Lives with ids of their own need none: each refuses what is meant for another one.
+        """
+        greeting = self._make_greeting()
+        if greeting is None and not self._is_greeting:
+            return
+        self._is_greeting = greeting is not None
+        self._orders.close()
+        self._looks.close()
+        self._orders = self._make_client(ORDER_CONNECTIONS, greeting=greeting)
+        self._looks = self._make_client(1, greeting=greeting)
+
+    def _make_client(self, connections: int, *, greeting: Greeting | None) -> DirectClient:
+        return DirectClient(address=self._address, max_connections=connections, greeting=greeting)
+
+    def _make_greeting(self) -> Greeting | None:
+        """Return a look that neither renews a lease nor takes note of ends, if lives share ids."""
+        _, born_ms = read_life_id(self._life_id)
+        if born_ms is msgspec.UNSET:
+            return None
+        headers = self._headers
+
+        def accept(response: JsonResponse) -> None:
+            if response.status == WRONG_LIFE:
+                raise OtherLife
+            if response.status != 200:
+                self._read_start(response, headers)
+                raise HttpFailure(f"status {response.status}", is_unreachable=False)
+            if response.decode(HoldAnswer).born != born_ms:
+                raise OtherLife
+
+        call = HoldCall(fence=self._fence, ends_seen=0)
+        return Greeting(path=LOOK_PATH, body=call, headers=headers, accept=accept)
 
     def _to_worker_ms(self, at: float) -> int:
         """Return a moment in milliseconds of the worker's clock, no later than it truly is."""
@@ -216,6 +276,9 @@
 
     def _read_look(self, response: JsonResponse, asked_at: float) -> Look:
         answer = response.decode(HoldAnswer)
+        _, born_ms = read_life_id(self._life_id)
+        if answer.born != born_ms:
+            raise WorkerReplaced("another life answers")
         self._follow_clock(answer.clock_ms)
         ended = tuple(_read_end(row) for row in answer.ended)
         for end in ended:
--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -109,3 +109,50 @@
             lines.take("i-live", make_account(), 999, is_leaving=False, now=1000.0),
             "the worker's own line was forgotten",
         )
+
+
+class BirthTests(testtools.TestCase):
+    """Lives that share an id are told apart by when they were born."""
+
+    def take(self, lines: ReportLines, life_id: str, number: int, *, now: float, **fields) -> bool:
+        is_leaving = fields.get("is_leaving", False)
+        return lines.take(life_id, make_account(), number, is_leaving=is_leaving, now=now)
+
+    def test_the_next_life_counts_anew(self) -> None:
+        lines = ReportLines()
+        self.assertTrue(self.take(lines, "i-1 1000", 500, now=0.0))
+        self.assertTrue(self.take(lines, "i-1 2000", 1, now=1.5))
+        self.assertTrue(self.take(lines, "i-1 2000", 2, now=3.0))
+
+    def test_a_goodbye_is_that_of_the_life_that_leaves(self) -> None:
+        lines = ReportLines()
+        self.take(lines, "i-1 1000", 500, now=0.0, is_leaving=True)
+        self.take(lines, "i-1 2000", 1, now=1.5)
+        self.assertEqual("i-1 1000", lines.find_leaving("i-1"))
+        self.take(lines, "i-1 2000", 2, now=3.0, is_leaving=True)
+        self.assertEqual("i-1 2000", lines.find_leaving("i-1"))
+
+    def test_a_goodbye_under_an_id_of_which_no_life_leaves_is_foreign(self) -> None:
+        lines = ReportLines()
+        self.take(lines, "i-1 1000", 500, now=0.0)
+        error = self.assertRaises(ForeignInput, lines.find_leaving, "i-1")
+        self.assertEqual(Fault.NOT_ANNOUNCED, error.fault)
+
+    def test_a_report_that_does_not_say_it_is_foreign_where_others_do(self) -> None:
+        lines = ReportLines()
+        self.take(lines, "i-1 1000", 1, now=0.0)
+        with self.assertRaises(ForeignInput) as raised:
+            self.take(lines, "i-1", 2, now=1.5)
+        self.assertEqual(Fault.FIELD_MISSING, raised.exception.fault)
+
+    def test_a_worker_that_never_says_it_is_believed_in_the_end(self) -> None:
+        """Another writer may have claimed its id first, with a birth."""
+        lines = ReportLines()
+        self.take(lines, "i-1 1000", 1, now=0.0)
+        taken = []
+        for number in range(1, 5):
+            try:
+                taken.append(self.take(lines, "i-1", number, now=number * PAUSE_S))
+            except ForeignInput:
+                taken.append(False)
+        self.assertEqual([False, False, True, True], taken)
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -15,6 +15,7 @@
 from dalemast.core.supervision import LookPlan, RunId, StartOutcome, StartRequest, WorkerLife
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.emulator import EmulatedWorker
+from dalemast.emulator.fates import CallKind
 from dalemast.fleet.base import WorkerGone, WorkerReplaced, WorkerUnanswered
 from dalemast.http.client import HttpFailure, JsonResponse
 from dalemast.platform import PlatformWorkerDriver
@@ -194,6 +195,99 @@
         self.assertGreater(len(client.lives), 1)
 
 
+class RebornTests(AsyncTestCase):
+    """The worker begins anew under its id; what was meant for its life before must not reach it."""
+
+    def play(self, scenario) -> None:
+        async def run() -> None:
+            worker = EmulatedWorker(
+                address="127.0.0.1:0",
+                report_to=find_address(),
+                service="floor",
+                zone="austin",
+                cpu=4000,
+                keeps_id=True,
+            )
+            worker.start()
+            settings = SimpleNamespace(worker=SimpleNamespace(address=worker.address))
+            driver = PlatformWorkerDriver(settings=settings, lease_s=LEASE_S)
+            driver.meet(make_life(worker.life_id))
+            try:
+                await scenario(worker, driver)
+            finally:
+                await worker.crash()
+
+        self.run_async(run())
+
+    async def end_runs(self, driver: PlatformWorkerDriver, count: int) -> None:
+        """Let some runs end, and take note of their ends."""
+        await driver.look(plan(wait_s=0.0, renews=False), limit=always())
+        for number in range(count):
+            request = make_request(job_id=f"{number:016x}", run_s=0.01)
+            self.assertIs(StartOutcome.RUNNING, await driver.start(request, get_limit=always))
+            while not (await driver.look(plan(wait_s=1.0, renews=True), limit=always())).ended:
+                pass
+
+    def test_a_look_finds_that_the_life_is_over(self) -> None:
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            await self.end_runs(driver, 3)
+            await worker.crash()
+            worker.start()
+            with self.assertRaises(WorkerReplaced):
+                # The kept connection has ended with the life; the one after it is greeted.
+                with contextlib.suppress(WorkerUnanswered):
+                    await driver.look(plan(wait_s=0.0, renews=True), limit=always())
+                await driver.look(plan(wait_s=0.0, renews=True), limit=always())
+
+        self.play(scenario)
+
+    def test_a_start_for_the_life_before_does_not_begin(self) -> None:
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            await self.end_runs(driver, 1)
+            await worker.crash()
+            worker.start()
+            outcome = await driver.start(make_request(run=7), get_limit=always)
+            self.assertIn(outcome, (StartOutcome.REJECTED, StartOutcome.UNANSWERED))
+            self.assertEqual(set(), worker.active_tasks)
+
+        self.play(scenario)
+
+    def test_ends_of_the_next_life_are_told_though_their_numbers_were_seen(self) -> None:
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            await self.end_runs(driver, 3)
+            await worker.crash()
+            worker.start()
+            for _ in range(2):
+                with contextlib.suppress(WorkerUnanswered, WorkerReplaced):
+                    await driver.look(plan(wait_s=0.0, renews=True), limit=always())
+            driver.meet(make_life(worker.life_id))
+            await driver.look(plan(wait_s=0.0, renews=False), limit=always())
+            await self.end_runs(driver, 3)
+
+        self.play(scenario)
+
+    def test_what_an_earlier_life_was_told_late_is_barred_once_the_next_has_answered(self) -> None:
+        async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
+            await driver.look(plan(wait_s=0.0, renews=False), limit=always())
+            before = driver._fence
+            driver.meet(make_life(worker.life_id))
+            await driver.look(plan(wait_s=0.0, renews=False), limit=always())
+            late = {"task": "00000000000000aa.0.0.0", "run": 1, "spec": "", "until_ms": 10**9}
+            _, answer = await worker.take_call(CallKind.START, {**late, "fence": before})
+            self.assertEqual("fence", answer.reason)
+
+        self.play(scenario)
+
+
+class NothingListensTests(AsyncTestCase):
+    def test_a_start_that_no_worker_can_have_seen_has_not_begun(self) -> None:
+        settings = SimpleNamespace(worker=SimpleNamespace(address=find_address()))
+        driver = PlatformWorkerDriver(settings=settings, lease_s=LEASE_S)
+        driver.meet(make_life("first"))
+        outcome = self.run_async(driver.start(make_request(), get_limit=always))
+        self.assertIs(StartOutcome.REJECTED, outcome)
+
+
 class AnsweringClient:
     """Gives the answers that it was made with, one a request; None is no answer."""
 
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -14,10 +14,13 @@
     succeeded: int = 0
     refused: int = 0
     hung_up: int = 0
+    crashes: int = 0
+    """How often a task has crashed its worker."""
     faults: list[str] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
 
     def __str__(self) -> str:
         head = f"seed {self.seed}: {self.jobs} jobs, {self.succeeded} succeeded, "
         head += f"{self.refused} refused, {self.hung_up} left, {len(self.faults)} faults"
+        head += f", {self.crashes} crashes" if self.crashes else ""
         return "\n".join([head, *(f"  BROKEN {line}" for line in self.broken)])
