--- a/dalemast/emulator/worker.py
+++ b/dalemast/emulator/worker.py
@@ -197,6 +197,10 @@
         """Change the faults."""
         self._faults = replace(self._faults, **faults)
 
+    def set_cpu(self, cpu: int) -> None:
+        """Change the room, in thousandths of a core; the next report says so."""
+        self._cpu = cpu
+
     def start(self) -> None:
         """Begin a life: listen and report."""
         self._lives += 1
--- /dev/null
+++ b/tests/fleet/test_capacity.py
@@ -0,0 +1,81 @@
+"""A worker whose room shrinks and grows while it runs.
+
+What it said of its capacity was taken for something that never changes: the first reports with
+another one were refused as another writer's, and owners went on with the room that it had when it
+was met. Its agent turned their starts away then, and room that had grown stayed unused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.base import AsyncTestCase, wait_until
+from tests.fleet.base import LocalFleet, make_text
+
+JOB = "00000000000000c{}"
+FULL = 4000
+SMALL = 1000
+
+
+def get_free(fleet: LocalFleet) -> list[int]:
+    """Return the free room of each worker as the first entry sees it."""
+    workers = fleet.entries[0].get_state()["workers"]
+    return [view["free_cpu"] for view in workers.values()]  # type: ignore[union-attr]
+
+
+class CapacityTests(AsyncTestCase):
+    def play(self, scenario) -> None:
+        async def run() -> None:
+            async with LocalFleet(entries=1, workers=1) as fleet:
+                fleet.workers[0].set_cpu(FULL)
+                await wait_until(lambda: get_free(fleet) == [FULL], "the room to be known")
+                await scenario(fleet)
+
+        self.run_async(run())
+
+    async def shrink(self, fleet: LocalFleet, cpu: int) -> None:
+        fleet.workers[0].set_cpu(cpu)
+        await wait_until(lambda: max(get_free(fleet)) <= cpu, "the owner to know of it")
+
+    async def submit_many(self, fleet: LocalFleet, count: int) -> int:
+        """Submit jobs at a time; return how many tasks ran at the same time at the most."""
+        most = 0
+
+        def note(_: str) -> None:
+            nonlocal most
+            most = max(most, len(fleet.workers[0].active_tasks))
+
+        fleet.workers[0].on_start = note
+        jobs = [fleet.submit(JOB.format(n), text=make_text(0.1)) for n in range(count)]
+        answers = await asyncio.gather(*jobs)
+        self.assertIn(200, [answer.status for answer in answers])
+        return most
+
+    def test_no_more_is_started_than_the_room_that_is_left(self) -> None:
+        async def scenario(fleet: LocalFleet) -> None:
+            self.assertEqual(4, await self.submit_many(fleet, 4))
+            await self.shrink(fleet, SMALL)
+            self.assertEqual(1, await self.submit_many(fleet, 3))
+
+        self.play(scenario)
+
+    def test_what_runs_goes_on_and_nothing_joins_it(self) -> None:
+        async def scenario(fleet: LocalFleet) -> None:
+            job = asyncio.create_task(fleet.submit(JOB.format("a"), text=make_text(4.0), count=3))
+            await wait_until(lambda: len(fleet.workers[0].active_tasks) == 3, "the runs")
+            await self.shrink(fleet, SMALL)
+            self.assertLess(get_free(fleet)[0], 0)
+            self.assertEqual(3, len(fleet.workers[0].active_tasks))
+            self.assertEqual(200, (await job).status)
+            self.assertEqual(3, len(fleet.workers[0].started))
+
+        self.play(scenario)
+
+    def test_room_that_grows_is_used(self) -> None:
+        async def scenario(fleet: LocalFleet) -> None:
+            await self.shrink(fleet, SMALL)
+            fleet.workers[0].set_cpu(2 * FULL)
+            await wait_until(lambda: get_free(fleet) == [2 * FULL], "the owner to know of it")
+            self.assertEqual(8, await self.submit_many(fleet, 8))
+
+        self.play(scenario)
--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -44,6 +44,28 @@
         line = make_line()
         self.assertEqual(Fault.OTHER_ACCOUNT, self.get_fault(line, 2, account=1, now=1.5))
 
+    def test_a_capacity_that_changes_is_believed_once_it_is_said_again(self) -> None:
+        """A room that has shrunk counts within a few seconds; a foreign one is contradicted."""
+        line = make_line()
+        self.assertEqual(Fault.OTHER_ACCOUNT, self.get_fault(line, 2, account=1, now=1.5))
+        self.assertTrue(line.take(make_account(1), 3, now=3.0))
+        self.assertFalse(line.is_replaced)
+        self.assertTrue(line.take(make_account(1), 4, now=4.5))
+
+    def test_a_capacity_said_again_at_once_is_not_believed_yet(self) -> None:
+        line = make_line()
+        for number in (2, 3, 4):
+            now = 1.5 + 0.1 * number
+            self.assertEqual(Fault.OTHER_ACCOUNT, self.get_fault(line, number, account=1, now=now))
+
+    def test_a_foreign_capacity_between_reports_is_never_believed(self) -> None:
+        line = make_line()
+        for turn in range(6):
+            now = (turn + 1) * PAUSE_S
+            fault = self.get_fault(line, 2 * turn + 2, account=1, now=now - 0.7)
+            self.assertEqual(Fault.OTHER_ACCOUNT, fault)
+            self.assertTrue(line.take(make_account(), 2 * turn + 3, now=now))
+
     def test_the_reason_names_what_differs(self) -> None:
         line = make_line()
         error = self.assertRaises(ForeignInput, line.take, make_account(1), 2, now=1.5)
