--- a/dalemast/core/scheduling/hopeless.py
+++ b/dalemast/core/scheduling/hopeless.py
@@ -20,8 +20,17 @@
         self._kinds: dict[str, set[tuple[Resources, frozenset[str]]]] = {}
 
     def add(self, view: WorkerView) -> None:
-        """Take in a worker's capacity and labels; they stay when the worker has gone."""
-        self._kinds.setdefault(view.service, set()).add((view.capacity, view.labels))
+        """Take in a worker's capacity and labels; they stay when it has gone, or has shrunk.
+
+        Less than what was seen before with these labels is nothing new: a capacity may change all
+        the time.
+        """
+        kinds = self._kinds.setdefault(view.service, set())
+        alike = {kind for kind in kinds if kind[1] == view.labels}
+        if any(view.capacity.fits(capacity) for capacity, _ in alike):
+            return
+        kinds -= {kind for kind in alike if kind[0].fits(view.capacity)}
+        kinds.add((view.capacity, view.labels))
 
     def is_hopeless(self, request: JobRequest, *, now: float) -> bool:
         """Tell whether no worker that was ever seen could hold one of the job's tasks."""
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -40,7 +40,7 @@
 from dalemast.core.scheduling.refusals import Refusals
 from dalemast.core.scheduling.wants import RoomWants
 from dalemast.core.scheduling.workers import RoomReport, SlowRun, WorkerView
-from dalemast.core.workloads import JobRequest, TaskKey
+from dalemast.core.workloads import JobRequest, Resources, TaskKey
 
 __all__ = ["Scheduler", "SchedulerLimits"]
 
@@ -145,6 +145,13 @@
         self._refusals.note_found_worker(now=now)
         self._seen.add(view)
 
+    def resize_worker(self, name: str, capacity: Resources) -> None:
+        """Take in what a worker has by now; the report that follows says what of it is free."""
+        view = self._workers.get(name)
+        if view is not None:
+            view.resize(capacity)
+            self._seen.add(view)
+
     def set_evacuated(self, data_centres: frozenset[str], *, now: float) -> list[Action]:
         """Start nothing in these data centres, and use the others again; what runs goes on.
 
--- a/dalemast/core/scheduling/workers.py
+++ b/dalemast/core/scheduling/workers.py
@@ -100,7 +100,7 @@
 
     @property
     def capacity(self) -> Resources:
-        """What it has in all."""
+        """What it has in all, which may change."""
         return self._capacity
 
     @property
@@ -172,6 +172,11 @@
         for resources in self._sent.values():
             self._free -= resources
 
+    def resize(self, capacity: Resources) -> None:
+        """Note what it has in all by now; runs go on also if they take more than that."""
+        self._free += capacity - self._capacity
+        self._capacity = capacity
+
     def suspend(self) -> None:
         """Send it nothing until the next report."""
         self._is_accepting = False
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -185,8 +185,8 @@
             return []
         if known is None:
             return self._begin_life()
-        changed = known.is_leaving != life.is_leaving
-        return [ReportRoom()] if changed else []
+        has_changed = (known.is_leaving, known.capacity) != (life.is_leaving, life.capacity)
+        return [ReportRoom()] if has_changed else []
 
     def lose_life(self, *, is_over: bool, is_refused: bool = False) -> list[Action]:
         """Note that the worker is gone: its process ended, so nothing runs there.
--- a/dalemast/fleet/agent/reports.py
+++ b/dalemast/fleet/agent/reports.py
@@ -6,6 +6,7 @@
 
 from dalemast.core.scheduling import Want
 from dalemast.core.supervision import RunId, Supervisor, find_neediest, get_room_pause
+from dalemast.core.workloads import Resources
 from dalemast.fleet.agent.owner_sessions import OwnerSession
 from dalemast.fleet.frames import RoomNews, RunRow, WantRow, WorkerNews
 
@@ -39,8 +40,9 @@
         self._ended_for: OwnerSession | None = None
         """The entry whose run has ended since room was last offered."""
         self._was_accepting = False
-        self._announced_life = ""
-        """The worker's life that entries were told of, once nothing unknown runs there."""
+        self._announced: tuple[str, Resources | None] = ("", None)
+        """The worker's life that entries were told of, once nothing unknown runs there, and its
+        capacity, which may change."""
 
     def greet(self, session: OwnerSession, *, now: float) -> None:
         """Tell an entry that was just met of the worker and its room."""
@@ -99,11 +101,11 @@
                 self._send_room(session, now)
 
     def _announce_worker(self) -> None:
-        """Tell all entries of the worker's life if it has changed or has become known."""
-        life_id = self._get_known_life()
-        if life_id == self._announced_life:
+        """Tell all entries of the worker's life if it or its room has changed, or become known."""
+        known = self._get_known()
+        if known == self._announced:
             return
-        self._announced_life = life_id
+        self._announced = known
         for session in self._sessions.values():
             self._tell_worker(session)
             session.audience.hasten()
@@ -131,10 +133,12 @@
             )
         )
 
-    def _get_known_life(self) -> str:
-        """Return the id of the worker's life, or an empty text while owners are not told of it."""
+    def _get_known(self) -> tuple[str, Resources | None]:
+        """Return the worker's life and capacity, or no id while owners are not told of it."""
         life = self._supervisor.life
-        return life.id if life is not None and self._supervisor.has_settled else ""
+        if life is None or not self._supervisor.has_settled:
+            return "", None
+        return life.id, life.capacity
 
     def _tell_worker(self, session: OwnerSession) -> None:
         """Tell an entry of the worker, and which of its runs are there."""
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -76,6 +76,15 @@
         known = self._supervisor.life
         if known is not None and known.id == life.id and known.is_leaving != life.is_leaving:
             log_event("worker:leaving", worker=life.id, remaining_s=life.remaining_s)
+        if known is not None and known.id == life.id and known.capacity != life.capacity:
+            log_event(
+                "worker:resized",
+                worker=life.id,
+                cpu=life.capacity.cpu,
+                cpu_before=known.capacity.cpu,
+                memory_mb=life.capacity.memory_mb,
+                free_cpu=life.capacity.cpu - known.capacity.cpu + self._supervisor.get_free().cpu,
+            )
         actions = self._supervisor.meet_life(life, now=time.monotonic())
         believed = self._supervisor.life
         if believed is None or believed.id != life.id:
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -259,8 +259,10 @@
         hello = session.hello
         if hello is None:
             return
+        capacity = Resources(cpu=news.cpu, memory_mb=news.memory_mb, gpu=news.gpu)
         if news.id and news.id == session.worker:
             # Told twice; the stops that followed from the first time are on their way.
+            self._scheduler.resize_worker(news.id, capacity)
             session.link.send(Reconciled(number=news.number))
             return
         self._drop_worker(session)
@@ -269,7 +271,7 @@
         view = WorkerView(
             name=news.id,
             service=news.service,
-            capacity=Resources(cpu=news.cpu, memory_mb=news.memory_mb, gpu=news.gpu),
+            capacity=capacity,
             labels=frozenset(news.labels),
             data_centre=hello.data_centre,
             is_near=hello.data_centre == self._member.data_centre,
--- a/dalemast/platform/lines.py
+++ b/dalemast/platform/lines.py
@@ -1,9 +1,13 @@
 """The reports of each life in their order, when another writer sends some under the same id.
 
-A life says the same of its capacity, service and labels for as long as it lasts, and its numbers
-rise by one a report. What does not go on from there is not taken, unless it proves to be the
-worker's: then it goes on by itself while the line that was believed has fallen silent. So a foreign
-report costs the worker nothing, and one that came first is believed for some reports only.
+A life says the same of its service and labels for as long as it lasts, and its numbers rise by one
+a report. What does not go on from there is not taken, unless it proves to be the worker's: then it
+goes on by itself while the line that was believed has fallen silent. So a foreign report costs the
+worker nothing, and one that came first is believed for some reports only.
+
+Its capacity may change. Another one is believed once it is said again, a second or more later, with
+no report in between that goes on with the known one: the worker's own reports contradict what
+another writer says of it.
 """
 
 from __future__ import annotations
@@ -25,6 +29,9 @@
 while a report stays unanswered."""
 RIVAL_REPORTS = 3
 """Reports in a row after which a line replaces one that is silent meanwhile."""
+RESIZE_REPORTS = 2
+"""Reports in a row after which another capacity is believed: within two pauses of some 1.5 s, where
+room that has shrunk counts 3 s and one pause later; from the platform."""
 RIVAL_S = 1.0
 """Shortest time between the first and the last of them, so that a burst of late reports, delivered
 together, is not enough."""
@@ -35,12 +42,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Account:
-    """What a life says of itself that never changes."""
+    """What a life says of itself; all but its capacity never changes."""
 
     service: str
     capacity: Resources
     labels: frozenset[str]
 
+    def is_resized(self, known: Account) -> bool:
+        """Tell whether only the capacity differs from a known account."""
+        is_same = (self.service, self.labels) == (known.service, known.labels)
+        return is_same and self.capacity != known.capacity
+
     def describe_change(self, known: Account) -> str:
         """Return which parts differ from a known account, with what they are here and there."""
         pairs = {
@@ -63,14 +75,14 @@
 
 
 def count_rival(
-    rival: Rival | None, account: Account, number: int, *, now: float
+    rival: Rival | None, account: Account, number: int, *, now: float, needed: int = RIVAL_REPORTS
 ) -> tuple[bool, Rival]:
     """Note a report that does not go on from the believed ones; tell whether it is to be by now."""
     if rival is None or rival.account != account or number <= rival.number:
         return False, Rival(account=account, number=number, count=1, since=now)
     count = rival.count + 1
     known = Rival(account=account, number=number, count=count, since=rival.since)
-    return count >= RIVAL_REPORTS and now - rival.since >= RIVAL_S, known
+    return count >= needed and now - rival.since >= RIVAL_S, known
 
 
 class ReportLine:
@@ -96,22 +108,37 @@
     def take(self, account: Account, number: int, *, now: float) -> bool:
         """Return whether a report is news; raises :class:`ForeignInput` if it is foreign."""
         limit = self._number + NUMBERS_AHEAD + NUMBERS_PER_S * (now - self._heard_at)
-        is_same = account == self._account
-        is_next = is_same and self._number < number <= limit
-        if is_next or self._replaces(account, number, now):
-            self._is_replaced = not is_next
-            self._believe(account, number, now)
-            return True
-        if not is_same:
+        is_next = self._number < number <= limit
+        if account == self._account and is_next:
+            self._is_replaced = False
+        elif is_next and account.is_resized(self._account):
+            self._take_resized(account, number, now)
+        elif not self._replaces(account, number, now):
+            return self._pass_over(account, number, limit)
+        self._believe(account, number, now)
+        return True
+
+    def _take_resized(self, account: Account, number: int, now: float) -> None:
+        """Go on if another capacity was said before, or raise :class:`ForeignInput`."""
+        is_believed, self._rival = count_rival(
+            self._rival, account, number, now=now, needed=RESIZE_REPORTS
+        )
+        if not is_believed:
             raise ForeignInput(Fault.OTHER_ACCOUNT, account.describe_change(self._account))
-        if number > limit:
-            raise ForeignInput(Fault.NUMBER_JUMPED, f"from {self._number} to {number}")
-        return False
+        self._is_replaced = False
 
     def _replaces(self, account: Account, number: int, now: float) -> bool:
         """Note a report that does not go on from the last; tell whether it is to be believed."""
-        is_believed, self._rival = count_rival(self._rival, account, number, now=now)
-        return is_believed
+        self._is_replaced, self._rival = count_rival(self._rival, account, number, now=now)
+        return self._is_replaced
+
+    def _pass_over(self, account: Account, number: int, limit: float) -> bool:
+        """Raise :class:`ForeignInput` for a foreign report; a late one is only no news."""
+        if account != self._account:
+            raise ForeignInput(Fault.OTHER_ACCOUNT, account.describe_change(self._account))
+        if number > limit:
+            raise ForeignInput(Fault.NUMBER_JUMPED, f"from {self._number} to {number}")
+        return False
 
     def _believe(self, account: Account, number: int, now: float) -> None:
         self._account = account
