--- a/tests/histories/base.py
+++ b/tests/histories/base.py
@@ -21,6 +21,7 @@
     "Kill",
     "Outcome",
     "Silence",
+    "Suspend",
 ]
 
 
@@ -50,6 +51,15 @@
     for_s: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Suspend:
+    """A host stands still with all that it runs, and its steady clock does not count the time."""
+
+    process: str
+    at_s: float
+    for_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Kill:
     """A process ends without a word, and a new life of it starts ``for_s`` later."""
@@ -113,7 +123,7 @@
     is_heard: bool = True
 
 
-Fault = Freeze | Kill | Cut | Silence | Drop | CallFault | HangUp
+Fault = Freeze | Suspend | Kill | Cut | Silence | Drop | CallFault | HangUp
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/histories/clock.py
+++ b/tests/histories/clock.py
@@ -67,10 +67,16 @@
         self._timeline = timeline
         self.connect: Callable[..., Any] | None = None
         """Opens a connection of the model: host, port."""
+        self.host: ModelHost | None = None
+
+    @property
+    def lost_s(self) -> float:
+        """How much time the host's steady clock has not counted."""
+        return 0.0 if self.host is None else self.host.lost_s
 
     def time(self) -> float:
-        """Return the steady clock."""
-        return self._timeline.now
+        """Return the host's steady clock."""
+        return self._timeline.now - self.lost_s
 
     def get_next(self) -> float:
         """Return when this loop wants to run next."""
@@ -80,7 +86,7 @@
             return float("inf")
         first = self._scheduled[0]
         # A turn drops cancelled timers.
-        return self._timeline.now if first.cancelled() else first.when()
+        return self._timeline.now if first.cancelled() else first.when() + self.lost_s
 
     def turn(self) -> None:
         """Run what is ready and what is due, once."""
@@ -113,6 +119,8 @@
         self.name = name
         self.loop: ModelLoop | None = None
         self.frozen_until = 0.0
+        self.lost_s = 0.0
+        """How much time its steady clock has not counted, while it was suspended."""
         self.is_up = True
         self.process: Any = None
         self._timeline = timeline
@@ -152,6 +160,12 @@
         self.frozen_until = 0.0
         self._arrived = []
 
+    def suspend(self, for_s: float) -> None:
+        """Stand still for a while that the steady clock does not count."""
+        until = self._timeline.now + for_s
+        self.lost_s += max(0.0, until - max(self.frozen_until, self._timeline.now))
+        self.frozen_until = max(self.frozen_until, until)
+
     def end(self) -> None:
         """End without a word."""
         self.is_up = False
--- a/tests/histories/draw.py
+++ b/tests/histories/draw.py
@@ -19,10 +19,11 @@
     Kill,
     Outcome,
     Silence,
+    Suspend,
 )
 from tests.histories.fleet import ModelFleet
 
-__all__ = ["draw_cut_history", "draw_history", "play", "shrink"]
+__all__ = ["draw_cut_history", "draw_history", "draw_suspended_history", "play", "shrink"]
 
 RUN_S = ((0.05, 0.3), (0.5, 2.0), (3.0, 6.0))
 """Bounds on run times: the shortest tasks of the platform, and those that outlive a fault."""
@@ -57,6 +58,9 @@
 """Share of histories with cut entries in which stops get lost."""
 HEARD_SHARE = 0.25
 """Share of the hang-ups there that the entry hears."""
+SUSPENDED_SHARE = 0.5
+"""Share of the histories with a suspended host beside those that take a frozen process's place."""
+SUSPENDED_S = (0.3, 0.6, 1.0, 1.4, 2.5)
 PAIR_SHARE = 0.3
 """Share of faults of calls after which the next call goes wrong otherwise."""
 
@@ -136,6 +140,31 @@
     )
 
 
+def draw_suspended_history(seed: int) -> History:
+    """Return a drawn history in which hosts are suspended where their processes would freeze.
+
+    One more host is suspended in half of them, and in all that had no frozen process.
+    """
+    history = draw_history(seed) if seed % 3 else draw_cut_history(seed)
+    faults: list[Fault] = [
+        Suspend(process=fault.process, at_s=fault.at_s, for_s=fault.for_s)
+        if isinstance(fault, Freeze) and not fault.process.startswith("worker")
+        else fault
+        for fault in history.faults
+    ]
+    rng = random.Random(f"suspended {seed}")
+    if rng.random() < SUSPENDED_SHARE or not any(isinstance(f, Suspend) for f in faults):
+        hosts = [f"entry-{number}" for number in range(history.entries)] + list(AGENTS)
+        faults.append(
+            Suspend(
+                process=rng.choice(hosts),
+                at_s=rng.uniform(0.0, 2.0),
+                for_s=rng.choice(SUSPENDED_S),
+            )
+        )
+    return replace(history, faults=tuple(faults))
+
+
 def shrink(history: History) -> History:
     """Leave out of a history whatever its broken promise does not need."""
     kind = _get_kind(play(history))
--- a/tests/histories/fleet.py
+++ b/tests/histories/fleet.py
@@ -42,6 +42,7 @@
     Kill,
     Outcome,
     Silence,
+    Suspend,
 )
 from tests.histories.clock import ModelHost, ModelLoop, Timeline
 from tests.histories.network import End, Network, open_socket
@@ -151,7 +152,7 @@
         random.seed(self._history.seed)
         with contextlib.ExitStack() as stack:
             for target, value in {
-                "time.monotonic": self._timeline.get_now,
+                "time.monotonic": self._get_steady_clock,
                 "time.time": self._timeline.get_time_of_day,
                 "dalemast.fleet.links.dialer.ws_connect": self._open_web_socket,
                 "dalemast.fleet.links.listener.ws_create_server": self._listen,
@@ -167,6 +168,11 @@
             finally:
                 random.setstate(random_state)
 
+    def _get_steady_clock(self) -> float:
+        """Return what the steady clock of the host shows that runs now."""
+        host = self._hosts.get(self._running)
+        return self._timeline.now - (0.0 if host is None else host.lost_s)
+
     def _build(self) -> None:
         entries = [f"entry-{number}" for number in range(self._history.entries)]
         addresses = {name: f"10.0.0.{number}:1" for number, name in enumerate(entries, start=1)}
@@ -250,7 +256,7 @@
         host = self._hosts[name]
         loop = ModelLoop(timeline=self._timeline)
         loop.connect = lambda address: self._network.connect(host, address)
-        loop.host = host  # type: ignore[attr-defined]
+        loop.host = host
         loop.set_exception_handler(lambda _, context: self._take_error(name, context))
         self._loops.append(loop)
         host.begin(loop)
@@ -292,6 +298,8 @@
             case Freeze():
                 host = self._get_host(fault.process)
                 host.frozen_until = max(host.frozen_until, now + fault.for_s)
+            case Suspend():
+                self._get_host(fault.process).suspend(fault.for_s)
             case Kill():
                 self._kill(fault)
             case Cut():
--- /dev/null
+++ b/tests/histories/test_suspended_hosts.py
@@ -0,0 +1,98 @@
+"""Hosts that are suspended for seconds: the steady clock does not count the time.
+
+An entry that stood still finds out by the time between two of its ticks, and gives up what others
+may have been granted meanwhile. Its steady clock told it that nothing had happened: it went on
+where it had stopped, with claims that had lapsed, with runs that its agents had ended, and with
+tasks that another entry had started for the caller's next submission.
+"""
+
+from __future__ import annotations
+
+from tests.histories.base import Cut, HangUp, JobPlan, Suspend
+from tests.histories.draw import draw_suspended_history, play
+from tests.histories.test_orders import AT_ONCE_S, LONG_S, OrdersTestCase
+
+BROKEN_SEEDS = (555, 675, 945, 1137, 1883, 3336)
+"""Drawn histories in which a task ran twice, of 4,000. With frozen processes in place of suspended
+hosts none of them does."""
+DRAWN = 120
+FOR_S = (0.3, 0.8, 1.5, 3.0)
+"""Within an agent's patience, within the chain of times, beyond it, and beyond the next submission
+of the job."""
+WAITING = (JobPlan(at_s=0.0, run_s=(0.9,) * 8), JobPlan(at_s=0.01, run_s=(LONG_S,)))
+"""The second one waits for room as its entry stands still."""
+
+
+class SuspendedEntryTests(OrdersTestCase):
+    def test_its_caller_asks_another_one(self) -> None:
+        for for_s in FOR_S:
+            self.check(
+                Suspend(process="entry-0", at_s=0.2, for_s=for_s),
+                HangUp(job=0, at_s=0.25, is_heard=False),
+                entries=2,
+            )
+
+    def test_as_it_sends_starts(self) -> None:
+        for for_s in FOR_S:
+            self.check(
+                Suspend(process="entry-0", at_s=AT_ONCE_S, for_s=for_s),
+                HangUp(job=0, at_s=0.05, is_heard=False),
+                entries=2,
+            )
+
+    def test_what_waits_there_is_asked_for_elsewhere(self) -> None:
+        for for_s in FOR_S:
+            self.check(
+                Suspend(process="entry-0", at_s=0.1, for_s=for_s),
+                HangUp(job=1, at_s=0.15, is_heard=False),
+                jobs=WAITING,
+                entries=2,
+            )
+
+    def test_twice_in_a_row(self) -> None:
+        for for_s in FOR_S:
+            self.check(
+                Suspend(process="entry-0", at_s=0.2, for_s=for_s),
+                Suspend(process="entry-0", at_s=0.21 + for_s, for_s=for_s),
+                HangUp(job=0, at_s=0.25, is_heard=False),
+                entries=2,
+            )
+
+
+class SuspendedAgentTests(OrdersTestCase):
+    def test_its_owner_starts_the_task_elsewhere(self) -> None:
+        for for_s in FOR_S:
+            self.check(
+                *(Suspend(process=f"agent-{n}", at_s=0.2 + n, for_s=for_s) for n in range(2))
+            )
+
+    def test_as_it_orders_starts(self) -> None:
+        for for_s in FOR_S:
+            self.check(
+                *(Suspend(process=f"agent-{n}", at_s=AT_ONCE_S, for_s=for_s) for n in range(2))
+            )
+
+    def test_its_owner_is_cut_off_as_it_returns(self) -> None:
+        for for_s in FOR_S:
+            self.check(
+                Suspend(process="agent-0", at_s=0.2, for_s=for_s),
+                Suspend(process="agent-1", at_s=0.2, for_s=for_s),
+                Cut(sender="entry-0", receiver="agent-0", at_s=0.1 + for_s, for_s=1.0),
+                Cut(sender="entry-0", receiver="agent-1", at_s=0.1 + for_s, for_s=1.0),
+                HangUp(job=0, at_s=0.25, is_heard=False),
+                entries=2,
+            )
+
+
+class DrawnTests(unittest.TestCase):
+    def check_seed(self, seed: int) -> None:
+        outcome = play(draw_suspended_history(seed))
+        self.assertEqual([], outcome.broken, "\n".join(outcome.trace))
+
+    def test_histories_that_were_broken(self) -> None:
+        for seed in BROKEN_SEEDS:
+            self.check_seed(seed)
+
+    def test_further_ones(self) -> None:
+        for seed in range(DRAWN):
+            self.check_seed(seed)
