--- a/dalemast/fleet/agent/dialling.py
+++ b/dalemast/fleet/agent/dialling.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable, Collection
 from typing import Any
 
+from dalemast import clock
 from dalemast.core.ownership import KnownEntry, LinkBounds, choose_owners
 from dalemast.fleet.base import Member
 from dalemast.fleet.book import AddressBook
@@ -92,7 +92,7 @@
         wanted: Collection[str] = self._book.addresses
         if len(wanted) > self._bounds.total:
             members = {member.address: member for member in self._book.members}
-            wanted = self._choose_addresses(members, time.monotonic())
+            wanted = self._choose_addresses(members, clock.monotonic())
         for address in wanted:
             self._dial(address)
 
--- a/dalemast/fleet/agent/owner_sessions.py
+++ b/dalemast/fleet/agent/owner_sessions.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Protocol
 
+from dalemast import clock
 from dalemast.core.clocks import LeastLead
 from dalemast.core.supervision import RoomAudience
 from dalemast.fleet.base import Member
@@ -74,7 +74,7 @@
         """When the frame that is being taken in was said at the earliest, by this clock."""
         if not self.is_reconciled:
             return float("-inf")
-        return self._said_ms / 1000 + self._lead.get(now=time.monotonic())
+        return self._said_ms / 1000 + self._lead.get(now=clock.monotonic())
 
     def probe(self, *, now: float) -> None:
         """Ask for a sign of life, since another entry has lost this one."""
@@ -88,7 +88,7 @@
 
     def forgive(self, late_s: float) -> None:
         """Count the entry's silence as shorter, by a time in which this agent did not listen."""
-        self._probed_at = min(self._probed_at + late_s, time.monotonic())
+        self._probed_at = min(self._probed_at + late_s, clock.monotonic())
         self.link.forgive(late_s)
 
     def get_clock_pause_s(self) -> float:
@@ -107,7 +107,7 @@
 
     def ask_clock(self) -> None:
         """Ask how the entry's clock goes."""
-        self.clock_asked_at = time.monotonic()
+        self.clock_asked_at = clock.monotonic()
         self._clock_questions += 1
         self.link.send(ClockAsk(sent_at_ms=int(self.clock_asked_at * 1000)))
 
@@ -118,7 +118,7 @@
     def take_clock(self, answer: ClockAnswer) -> None:
         """Take in how the entry's clock goes: it heard the question after it was sent."""
         lead_s = (answer.sent_at_ms - answer.heard_at_ms) / 1000
-        self._lead.show(lead_s, now=time.monotonic())
+        self._lead.show(lead_s, now=clock.monotonic())
 
     def receive(self, messages: list[EntryMessage]) -> None:
         """Take in a frame."""
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
+from dalemast import clock
 from dalemast.core.ownership import LinkBounds
 from dalemast.core.scheduling import CrashedTask, Suspicion
 from dalemast.core.supervision import (
@@ -120,7 +120,7 @@
             return
         for message in messages:
             self._take(session, message)
-        if session.said_at > time.monotonic():
+        if session.said_at > clock.monotonic():
             # This host's clock has lost time, as in a suspended one: no age of a word is known.
             log_event("link:clock-lost-time", entry=session.owner)
             session.link.reset()
@@ -180,7 +180,7 @@
 
     def mark_room(self) -> None:
         """Note that the room has changed; each entry is told when its pause is over."""
-        self._reports.note_change(now=time.monotonic())
+        self._reports.note_change(now=clock.monotonic())
 
     def forgive_silence(self, late_s: float) -> None:
         """Take a time in which this agent did not listen off the silence of all links.
@@ -246,7 +246,7 @@
                 run_id = RunId(row.job, TaskKey(row.step, row.position), row.run)
                 self._stop(run_id, session.owner)
             case Wants():
-                self._reports.take_want(session, message.want, now=time.monotonic())
+                self._reports.take_want(session, message.want, now=clock.monotonic())
             case EntriesAsk():
                 self._relay.take_ask(session, message)
             case Relayed() | RouteEnded():
@@ -279,7 +279,7 @@
         for crashed in self._crashes.crashes:
             # Before the runs that are there: one that is missing there may have ended its worker.
             session.link.send(crashed)
-        self._reports.greet(session, now=time.monotonic())
+        self._reports.greet(session, now=clock.monotonic())
         log_event("entry:link", entry=session.member.name, runs=self._count_runs(session))
 
     def _end_earlier_lives(self, member: Member) -> None:
--- a/dalemast/fleet/agent/process.py
+++ b/dalemast/fleet/agent/process.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
+from dalemast import clock
 from dalemast.core.evacuations import Evacuations
 from dalemast.core.ownership import LinkBounds
 from dalemast.core.supervision import Supervisor, SupervisorLimits
@@ -82,8 +82,8 @@
         """Take no more starts and let what runs come to its end."""
         log_event("process:stopping", runs=len(self._supervisor.runs))
         self._worker.apply(self._supervisor.drain())
-        end_by = time.monotonic() + self._get_drain_s()
-        while not self._supervisor.is_idle and time.monotonic() < end_by:
+        end_by = clock.monotonic() + self._get_drain_s()
+        while not self._supervisor.is_idle and clock.monotonic() < end_by:
             await asyncio.sleep(TICK_S)
         log_event("process:stopped", runs=len(self._supervisor.runs))
 
@@ -97,7 +97,7 @@
         return {
             "name": self._settings.name,
             "worker": life.id if life else None,
-            "is_accepting": self._supervisor.is_accepting(now=time.monotonic()),
+            "is_accepting": self._supervisor.is_accepting(now=clock.monotonic()),
             "evacuated": sorted(self._evacuations.data_centres),
             "is_doubted": self._supervisor.health.is_doubted,
             "free_cpu": self._supervisor.get_free().cpu,
@@ -128,7 +128,7 @@
 
     def _tick(self) -> None:
         self._check_pause()
-        now = time.monotonic()
+        now = clock.monotonic()
         # Links first: a silent owner's runs are stopped in the same turn, and count no more then.
         self._owners.tick(now)
         self._worker.tick(now)
--- a/dalemast/fleet/agent/relay.py
+++ b/dalemast/fleet/agent/relay.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from dalemast import clock
 from dalemast.core.supervision import Supervisor
 from dalemast.fleet.agent.owner_sessions import OwnerSession
 from dalemast.fleet.frames import EntriesAsk, EntriesHeard, Relayed, RouteEnded
@@ -41,7 +41,7 @@
     def take_ask(self, session: OwnerSession, ask: EntriesAsk) -> None:
         """Answer an entry now and from now on, and find out whether its suspects are there."""
         session.entries_asked = ask.number
-        now = time.monotonic()
+        now = clock.monotonic()
         for owner in ask.suspects:
             suspect = self._sessions.get(owner)
             if suspect is not None:
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 
+from dalemast import clock
 from dalemast.core.scheduling import EndReason
 from dalemast.core.supervision import (
     Action,
@@ -85,7 +85,7 @@
                 memory_mb=life.capacity.memory_mb,
                 free_cpu=life.capacity.cpu - known.capacity.cpu + self._supervisor.get_free().cpu,
             )
-        actions = self._supervisor.meet_life(life, now=time.monotonic())
+        actions = self._supervisor.meet_life(life, now=clock.monotonic())
         believed = self._supervisor.life
         if believed is None or believed.id != life.id:
             self._note_doubtful(life.id, believed)
@@ -115,11 +115,11 @@
 
     def start(self, request: StartRequest) -> None:
         """Take an owner's start."""
-        self.apply(self._supervisor.start(request, now=time.monotonic()))
+        self.apply(self._supervisor.start(request, now=clock.monotonic()))
 
     def stop(self, run_id: RunId, owner: str) -> None:
         """Take an owner's stop."""
-        self.apply(self._supervisor.stop(run_id, owner=owner, now=time.monotonic()))
+        self.apply(self._supervisor.stop(run_id, owner=owner, now=clock.monotonic()))
 
     def apply(self, actions: list[Action]) -> None:
         """Carry out what the supervisor decided."""
@@ -166,19 +166,19 @@
     def _is_look_due(self) -> bool:
         if self._supervisor.life is None:
             return False
-        return self._supervisor.has_work or time.monotonic() - self._looked_at > IDLE_LOOK_S
+        return self._supervisor.has_work or clock.monotonic() - self._looked_at > IDLE_LOOK_S
 
     async def _look(self) -> None:
         assert self._owners is not None
         is_waiting = bool(self._supervisor.runs)
-        self._looked_at = time.monotonic()
+        self._looked_at = clock.monotonic()
         plan = self._looks.plan(has_runs=is_waiting, now=self._looked_at)
         try:
             look = await self._driver.look(plan, limit=self._supervisor.get_lease_limit())
         except WorkerUnanswered:
             self._looks.note_unanswered()
             self._note_silence()
-            lease_left_s = self._driver.leased_until - time.monotonic()
+            lease_left_s = self._driver.leased_until - clock.monotonic()
             await asyncio.sleep(self._looks.get_pause_s(lease_left_s=lease_left_s))
             self._give_up_lapsed()
             return
@@ -189,7 +189,7 @@
         except WorkerGone as error:
             await self._note_refused(str(error))
             return
-        now = time.monotonic()
+        now = clock.monotonic()
         self._looks.note_answer(now=now)
         self._refused = 0
         life = self._supervisor.life
@@ -201,14 +201,14 @@
             await asyncio.sleep(STRAYS_PAUSE_S)
 
     def _note_silence(self) -> None:
-        if self._looks.shows_silence(now=time.monotonic()):
+        if self._looks.shows_silence(now=clock.monotonic()):
             self.apply(self._supervisor.note_silence())
         if self._looks.unanswered == SILENT_LOOKS:
             log_event("worker:silent", runs=len(self._supervisor.runs))
 
     def _give_up_lapsed(self) -> None:
         """Give a silent worker up once all that it ran has lapsed, so that it can run elsewhere."""
-        if time.monotonic() > self._driver.leased_until:
+        if clock.monotonic() > self._driver.leased_until:
             self._change_life(lambda: self._supervisor.lose_life(is_over=False))
 
     async def _note_refused(self, reason: str) -> None:
@@ -242,7 +242,7 @@
     ) -> None:
         """Tell how a life ended, and what ran on it: one of its tasks may have ended it."""
         assert self._owners is not None
-        now = time.monotonic()
+        now = clock.monotonic()
         self._metrics.count("workers.crashed" if has_crashed else "workers.gone")
         if runs and not is_planned:
             # Before the ends of the runs, which let their owners start the tasks anew.
@@ -271,11 +271,11 @@
         log_event("worker:met", worker=life.id, cpu=life.capacity.cpu)
 
     async def _order_start(self, request: StartRequest) -> None:
-        began = time.monotonic()
+        began = clock.monotonic()
         outcome = await self._driver.start(
             request, get_limit=lambda: self._supervisor.get_order_limit(request.run_id)
         )
-        now = time.monotonic()
+        now = clock.monotonic()
         self._metrics.record("start-order", "", now - began)
         self._log_start(request.run_id, outcome, took_s=now - began)
         actions = self._supervisor.take_outcome(
@@ -312,7 +312,7 @@
                 )
 
     def _order_stop_once(self, run_id: RunId) -> None:
-        now = time.monotonic()
+        now = clock.monotonic()
         said = self._stops.say(run_id, now=now)
         if said is None:
             return
@@ -332,7 +332,7 @@
     async def _order_stop(self, run_id: RunId) -> None:
         is_answered = await self._driver.stop(run_id)
         if is_answered:
-            self.apply(self._supervisor.take_stop_answer(run_id, now=time.monotonic()))
+            self.apply(self._supervisor.take_stop_answer(run_id, now=clock.monotonic()))
         if run_id not in self._supervisor.runs:
             self._stops.forget(run_id)
 
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import math
-import time
 from collections.abc import Callable, Iterable
 
+from dalemast import clock
 from dalemast.core.evacuations import Evacuations
 from dalemast.core.scheduling import (
     Action,
@@ -227,7 +227,7 @@
 
     def _mark_active(self, session: AgentSession) -> None:
         if session.active_since is None:
-            session.active_since = time.monotonic()
+            session.active_since = clock.monotonic()
 
     def _make_said(self) -> Said:
         """Return when what follows is said: when this process last knew that it ran on.
@@ -237,7 +237,7 @@
         return Said(at_ms=int(self._get_checked_at() * 1000))
 
     def _answer_clock(self, session: AgentSession, asked: ClockAsk) -> None:
-        heard_at_ms = math.ceil(time.monotonic() * 1000)
+        heard_at_ms = math.ceil(clock.monotonic() * 1000)
         session.link.send(ClockAnswer(sent_at_ms=asked.sent_at_ms, heard_at_ms=heard_at_ms))
 
     def _greet(self, session: AgentSession, hello: AgentHello) -> None:
@@ -279,12 +279,12 @@
         session.worker = news.id
         self._by_worker[news.id] = session
         self._note_replaced(hello.name, news.id)
-        self._scheduler.add_worker(view, now=time.monotonic())
+        self._scheduler.add_worker(view, now=clock.monotonic())
         listed = [(row.job, TaskKey(row.step, row.position), row.run) for row in news.runs]
         log_event(
             "worker:in-reach", worker=news.id, agent=hello.name, cpu=news.cpu, runs=len(listed)
         )
-        actions = self._scheduler.reconcile(news.id, listed, now=time.monotonic())
+        actions = self._scheduler.reconcile(news.id, listed, now=clock.monotonic())
         # Between the stops and the starts: the agent takes no start before, since one that was
         # under way as it told of its runs is missing there and counts as over here.
         self._apply([action for action in actions if isinstance(action, StopTask)])
@@ -298,7 +298,7 @@
         if len(self._lives) > MAX_LIVES:
             del self._lives[next(iter(self._lives))]
         if before is not None and before != worker:
-            self._apply(self._scheduler.note_replaced(before, now=time.monotonic()))
+            self._apply(self._scheduler.note_replaced(before, now=clock.monotonic()))
 
     def _drop_worker(self, session: AgentSession) -> None:
         if not session.worker:
@@ -307,7 +307,7 @@
         session.worker = ""
         if self._by_worker.get(worker) is session:
             del self._by_worker[worker]
-            self._apply(self._scheduler.lose_worker(worker, now=time.monotonic()))
+            self._apply(self._scheduler.lose_worker(worker, now=clock.monotonic()))
 
     def _update_room(self, session: AgentSession, news: RoomNews) -> None:
         report = RoomReport(
@@ -317,7 +317,7 @@
             pace=news.pace,
             suspects=news.suspects,
         )
-        now = time.monotonic()
+        now = clock.monotonic()
         self._apply(self._scheduler.update_worker(session.worker, report, now=now))
 
     def _note_crash(self, news: Crashed) -> None:
@@ -329,7 +329,7 @@
 
     def take_crash(self, news: Crashed) -> None:
         """Take in a crash that an agent or a peer tells of."""
-        now = time.monotonic()
+        now = clock.monotonic()
         tasks = read_crashed(news)
         self._apply(self._scheduler.note_crash(news.worker, tasks, now=now, is_seen=news.is_seen))
 
@@ -354,7 +354,7 @@
             row.run,
             news.reason,
             run_s=news.run_s,
-            now=time.monotonic(),
+            now=clock.monotonic(),
         )
         self._apply(actions)
 
@@ -367,7 +367,7 @@
             is_stalled=news.is_stalled,
         )
         key = TaskKey(row.step, row.position)
-        now = time.monotonic()
+        now = clock.monotonic()
         actions = self._scheduler.report_slow(
             session.worker, row.job, key, row.run, report, now=now
         )
--- a/dalemast/fleet/entry/claims.py
+++ b/dalemast/fleet/entry/claims.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import itertools
-import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
+from dalemast import clock
 from dalemast.core.ownership import Claims, Granted, Held, choose_home
 from dalemast.fleet.base import Member
 from dalemast.fleet.entry.peer_sessions import PeerSession
@@ -103,7 +103,7 @@
         """By id of this entry's jobs, the peers that may keep its claim."""
         self._lost_until: dict[str, float] = {}
         """Entries that were lost, and until when they may keep a claim."""
-        self._started_at = time.monotonic()
+        self._started_at = clock.monotonic()
 
     def __len__(self) -> int:
         """Return how many ids of peers are kept here."""
@@ -154,7 +154,7 @@
         if isinstance(result, Granted):
             session.link.send(ClaimAnswer(number=claim.number, is_granted=True))
             return
-        lapses_in_s = -1.0 if result.free_at is None else result.free_at - time.monotonic()
+        lapses_in_s = -1.0 if result.free_at is None else result.free_at - clock.monotonic()
         session.link.send(
             ClaimAnswer(
                 number=claim.number,
@@ -205,7 +205,7 @@
 
     def note_owner_lost(self, member: Member) -> None:
         """Note that the owner of claims kept here is out of reach: they lapse after a while."""
-        self._kept.note_lost(member.incarnation, now=time.monotonic())
+        self._kept.note_lost(member.incarnation, now=clock.monotonic())
 
     def note_owner_back(self, member: Member) -> None:
         """Note that the owner of claims kept here is in reach."""
@@ -218,7 +218,7 @@
         as their owners have heard it.
         """
         doubt_s = self._lapse_s if is_planned else DOUBT_S
-        self._lost_until[member.name] = time.monotonic() + doubt_s
+        self._lost_until[member.name] = clock.monotonic() + doubt_s
 
     def forget(self, session: PeerSession) -> None:
         """Wait for no more answers on a link that has ended."""
@@ -232,7 +232,7 @@
         They may have given it up and granted its ids, and one that it reaches none of would grant
         to itself.
         """
-        self._started_at = time.monotonic()
+        self._started_at = clock.monotonic()
 
     def move_all(self) -> None:
         """Tell the keepers of this entry's claims anew after the entries in reach have changed."""
@@ -281,7 +281,7 @@
 
     def _find_lost(self) -> list[str]:
         """Return the entries that were lost a while ago and may keep a claim."""
-        now = time.monotonic()
+        now = clock.monotonic()
         lost = [name for name, until in self._lost_until.items() if now < until]
         return [name for name in lost if name not in self._dialled]
 
@@ -313,7 +313,7 @@
 
     def _find_holder(self, job_id: str) -> Held | None:
         """Return the peer that has an id by what is kept here; it is asked to give it up."""
-        held = self._kept.find_other(job_id, self._member.incarnation, now=time.monotonic())
+        held = self._kept.find_other(job_id, self._member.incarnation, now=clock.monotonic())
         if held is not None:
             self._ask_to_yield(job_id, held.owner)
         return held
@@ -323,7 +323,7 @@
         if self._jobs.has_open(job_id):
             self._jobs.give_up(job_id)
             return Held(owner=self._member.incarnation, free_at=None)
-        result = self._kept.claim(job_id, owner, now=time.monotonic())
+        result = self._kept.claim(job_id, owner, now=clock.monotonic())
         if isinstance(result, Held):
             self._ask_to_yield(job_id, result.owner)
         elif not self._has_met_enough():
@@ -334,17 +334,17 @@
     def _take_told(self, session: PeerSession, member: Member, job_id: str) -> None:
         """Keep a peer's claim. If others have one too, the peer is asked to give its job up."""
         is_news = self._kept.note_told(job_id, member.incarnation)
-        held = self._kept.find_other(job_id, member.incarnation, now=time.monotonic())
+        held = self._kept.find_other(job_id, member.incarnation, now=clock.monotonic())
         if is_news and (held is not None or self._jobs.is_live(job_id)):
             session.link.send(Yield(job=job_id))
 
     def _is_too_young(self) -> bool:
         """Tell whether owners had no time yet to say which jobs they have."""
-        return time.monotonic() - self._started_at < SETTLE_S and not self._has_met_all()
+        return clock.monotonic() - self._started_at < SETTLE_S and not self._has_met_all()
 
     def _has_met_enough(self) -> bool:
         """Tell whether what is kept here speaks for all entries."""
-        return time.monotonic() - self._started_at >= DOUBT_S or self._has_met_all()
+        return clock.monotonic() - self._started_at >= DOUBT_S or self._has_met_all()
 
     def _ask_to_yield(self, job_id: str, owner: str) -> None:
         holder = self._accepted.get(owner)
@@ -372,6 +372,6 @@
     """Return the first answer that names another owner."""
     for answer in answers:
         if answer is not None and not answer.is_granted and answer.holder:
-            free_at = time.monotonic() + answer.lapses_in_s if answer.lapses_in_s >= 0 else None
+            free_at = clock.monotonic() + answer.lapses_in_s if answer.lapses_in_s >= 0 else None
             return Held(owner=answer.holder, free_at=free_at)
     return None
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Protocol
 
+from dalemast import clock
 from dalemast.core.ownership import Granted, Held
 from dalemast.core.scheduling import (
     Action,
@@ -98,7 +98,7 @@
         self._ask = ask
         self._check_pause = check_pause
         self._claims: ClaimKeeper | None = None
-        self._ticked_at = time.monotonic()
+        self._ticked_at = clock.monotonic()
         self._standstills = 0
         self._open: dict[str, OpenJob] = {}
         self._endings = Endings(lost_run_s=times.lost_run_s, release=self._release)
@@ -130,7 +130,7 @@
 
     async def run(self, request: JobRequest) -> JobOutcome:
         """Run a job to its end. A second submission here takes the first one's place."""
-        now = time.monotonic()
+        now = clock.monotonic()
         known = self._open.get(request.id)
         if known is not None:
             known.resolve(JobDropped(cause="submitted again"))
@@ -149,7 +149,7 @@
             job.resolve(refusal)
             return await job.answer
         job.is_submitted = True
-        job.submitted_at = time.monotonic()
+        job.submitted_at = clock.monotonic()
         self._metrics.record("claim", "", job.submitted_at - now)
         self.apply(self._scheduler.submit(request, now=job.submitted_at))
         return await job.answer
@@ -172,7 +172,7 @@
             starts = [start for start in starts if start.job.id in self._open]
         stops = [action for action in actions if isinstance(action, StopTask)]
         self._send(starts, stops)
-        self._endings.prolong(stops, now=time.monotonic())
+        self._endings.prolong(stops, now=clock.monotonic())
         for action in actions:
             if isinstance(action, JobFinished):
                 self._finish(action, [stop for stop in stops if stop.job_id == action.job.id])
@@ -273,7 +273,7 @@
                 if isinstance(result, Granted):
                     return None
                 held_by = result.owner
-            if time.monotonic() > give_up_at or self._open.get(job.request.id) is not job:
+            if clock.monotonic() > give_up_at or self._open.get(job.request.id) is not job:
                 log_event("job:not-claimed", job=job.request.id, held_by=held_by)
                 if not held_by:
                     return JobTurnedAway(cause=UNCONFIRMED, retry_after_s=UNCONFIRMED_RETRY_S)
@@ -291,21 +291,21 @@
             job=job_id,
             queue=job.request.queue.name,
             cause=cause,
-            age_s=round(time.monotonic() - job.arrived_at, 3),
+            age_s=round(clock.monotonic() - job.arrived_at, 3),
             stops=len(stops),
         )
         self._metrics.count(f"jobs.dropped.{cause.replace(' ', '-')}")
         job.resolve(JobDropped(cause=cause))
         if job.is_submitted:
-            self._endings.begin(job_id, stops, now=time.monotonic())
+            self._endings.begin(job_id, stops, now=clock.monotonic())
         # A room that was freed is used at the agent's next report.
 
     def _finish(self, action: JobFinished, stops: list[StopTask]) -> None:
         job = self._open.pop(action.job.id, None)
-        self._endings.begin(action.job.id, stops, now=time.monotonic())
+        self._endings.begin(action.job.id, stops, now=clock.monotonic())
         if job is None:
             return
-        took_s = time.monotonic() - job.arrived_at
+        took_s = clock.monotonic() - job.arrived_at
         self._metrics.count(f"jobs.{action.state.value}")
         self._metrics.record("job", action.job.queue.name, took_s)
         log_event(
--- a/dalemast/fleet/entry/news.py
+++ b/dalemast/fleet/entry/news.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Iterable, Mapping
 
 import msgspec
 
+from dalemast import clock
 from dalemast.core.catch_up import CopyLimit, MissingVersion, get_copy_s
 from dalemast.fleet.base import Configuration
 from dalemast.fleet.entry.configuration import ConfigurationInForce
@@ -57,7 +57,7 @@
         if not name:
             return
         self._copies.note_arrived(name)
-        self._missing.note_peer(name, news.version, news.size_bytes, now=time.monotonic())
+        self._missing.note_peer(name, news.version, news.size_bytes, now=clock.monotonic())
 
     def give(self, session: PeerSession, ask: ConfigurationAsk) -> None:
         """Send the configuration to a peer that lacks it, or say that others come first.
@@ -68,7 +68,7 @@
         if current is None or current.version < ask.version or session.is_relayed:
             return
         copy_s = get_copy_s(len(self._encoded))
-        if not self._copies.take(session.name, now=time.monotonic(), copy_s=copy_s):
+        if not self._copies.take(session.name, now=clock.monotonic(), copy_s=copy_s):
             session.link.send(ConfigurationLater(version=ask.version))
             return
         log_event("configuration:given", peer=session.name, version=current.version)
@@ -76,7 +76,7 @@
 
     def take_later(self, session: PeerSession) -> None:
         """Note that a peer gives the configuration to others first."""
-        self._missing.note_later(session.name, now=time.monotonic())
+        self._missing.note_later(session.name, now=clock.monotonic())
 
     def take_configuration(self, session: PeerSession, news: ConfigurationNews) -> None:
         """Take in a configuration that a peer sent."""
--- a/dalemast/fleet/entry/peer_sessions.py
+++ b/dalemast/fleet/entry/peer_sessions.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Protocol
 
+from dalemast import clock
 from dalemast.fleet.base import Member
 from dalemast.fleet.frames import PeerMessage
 from dalemast.fleet.links import BaseLink
@@ -34,7 +34,7 @@
         is_relayed: bool = False,
     ) -> None:
         self.link = link
-        self.opened_at = time.monotonic()
+        self.opened_at = clock.monotonic()
         self.is_dialled = is_dialled
         self.is_relayed = is_relayed
         """Whether an agent passes its frames on, for lack of a connection."""
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable
 
+from dalemast import clock
 from dalemast.core.evacuations import Evacuations
 from dalemast.fleet.base import Member
 from dalemast.fleet.book import AddressBook, to_member, to_row
@@ -119,7 +119,7 @@
         of that, the two can't meet, though they may notice a cut some tenths of a second apart.
         """
         since = self._alone_since
-        return since is not None and time.monotonic() - since >= self._times.silence_s
+        return since is not None and clock.monotonic() - since >= self._times.silence_s
 
     @property
     def routes(self) -> PeerRoutes:
@@ -306,7 +306,7 @@
         own = None if session.member is None else self._dialled.get(session.member.name)
         if is_heard or session.is_dialled or own is None:
             return
-        if time.monotonic() - own.opened_at < DEAF_LINK_S:
+        if clock.monotonic() - own.opened_at < DEAF_LINK_S:
             return
         log_event("peer:deaf", peer=own.member.name if own.member else "")
         self.end_session(own)
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
+from dalemast import clock
 from dalemast.core.evacuations import EvacuationChanges, EvacuationRecord, Evacuations
 from dalemast.core.scheduling import (
     FastestPlacement,
@@ -69,7 +69,7 @@
             order=load_backend(settings.order),
             placement=FastestPlacement(remote_factor=settings.remote_factor),
             limits=SchedulerLimits(lost_run_s=self._times.lost_run_s),
-            started_at=time.monotonic(),
+            started_at=clock.monotonic(),
         )
         self._desk = JobDesk(
             scheduler=self._scheduler,
@@ -181,7 +181,7 @@
         What is left at the end is answered as given up, so that its caller can submit it elsewhere
         at once; cut off, it would have to find that out first.
         """
-        self._draining_since = time.monotonic()
+        self._draining_since = clock.monotonic()
         # A caller that kept its connection would bring its next request here, up to the end, when
         # long jobs can't be finished any more; on a new one the balancer sends it to an entry that
         # stays. With all entries stopped in turn, by callers' counts, 14 of 1,548 jobs of tasks of
@@ -189,8 +189,8 @@
         closed = self._ingress.close_idle()
         log_event("process:stopping", open_jobs=len(self._desk), closed_connections=closed)
         end_by = self._draining_since + self._get_drain_s()
-        while time.monotonic() < end_by:
-            drained_s = time.monotonic() - self._draining_since
+        while clock.monotonic() < end_by:
+            drained_s = clock.monotonic() - self._draining_since
             is_quiet = not len(self._desk)
             if is_quiet and drained_s > MIN_DRAIN_S and not self._ingress.open_connections:
                 break
@@ -223,7 +223,7 @@
                     "is_accepting": view.is_accepting,
                     "data_centre": view.data_centre,
                     "free_cpu": view.free.cpu,
-                    "slowness": round(view.get_slowness(time.monotonic()), 3),
+                    "slowness": round(view.get_slowness(clock.monotonic()), 3),
                 }
                 for view in self._scheduler.workers.values()
             },
@@ -233,13 +233,13 @@
         """Tell whether a job is expected to end before this process does."""
         if self._draining_since is None:
             return True
-        left_s = self._draining_since + self._get_drain_s() - time.monotonic()
+        left_s = self._draining_since + self._get_drain_s() - clock.monotonic()
         return self._scheduler.expect_s(request) <= left_s
 
     def _spare_evacuated(self, evacuations: Evacuations) -> None:
         """Start nothing in evacuated data centres, and use those that were taken back."""
         data_centres = evacuations.data_centres
-        self._desk.apply(self._scheduler.set_evacuated(data_centres, now=time.monotonic()))
+        self._desk.apply(self._scheduler.set_evacuated(data_centres, now=clock.monotonic()))
 
     def _learn_member(self, member: Member) -> None:
         if member.incarnation != self._member.incarnation:
@@ -258,7 +258,7 @@
     def _recover_from_pause(self) -> None:
         """Give up the jobs that have begun: their runs may have lapsed meanwhile."""
         self._peers.note_standstill()
-        self._desk.abandon_begun(time.monotonic())
+        self._desk.abandon_begun(clock.monotonic())
 
     @property
     def _is_busy(self) -> bool:
@@ -267,7 +267,7 @@
 
     def _tick(self) -> None:
         self._check_pause()
-        now = time.monotonic()
+        now = clock.monotonic()
         self._agents.tick(now)
         self._peers.tick(now)
         if self._peers.is_cut_off:
--- a/dalemast/fleet/entry/routes.py
+++ b/dalemast/fleet/entry/routes.py
@@ -15,13 +15,13 @@
 
 import itertools
 import random
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
 
+from dalemast import clock
 from dalemast.fleet.entry.agent_sessions import AgentSession
 from dalemast.fleet.entry.peer_sessions import PeerSession
 from dalemast.fleet.frames import (
@@ -162,7 +162,7 @@
             entries=frozenset(news.entries),
             left_jobs=frozenset(news.left_jobs),
         )
-        self._open_routes(now=time.monotonic())
+        self._open_routes(now=clock.monotonic())
         self._receiver.note_routes_changed()
 
     def take_frame(self, session: AgentSession, message: Relayed) -> None:
--- a/dalemast/fleet/links/base.py
+++ b/dalemast/fleet/links/base.py
@@ -7,13 +7,13 @@
 import contextlib
 import socket
 import struct
-import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
 import msgspec
 from picows import WSFrame, WSListener, WSMsgType, WSTransport
 
+from dalemast import clock
 from dalemast.fleet.frames import decode_frame
 from dalemast.observability import log_error
 
@@ -67,7 +67,7 @@
         self._is_scheduled = False
         self._is_open = True
         self._make_head: Callable[[], msgspec.Struct] | None = None
-        self.heard_at = time.monotonic()
+        self.heard_at = clock.monotonic()
         self.sent_at = self.heard_at
 
     @property
@@ -97,17 +97,17 @@
             return
         data = encoder.encode(self._outgoing)
         self._outgoing = []
-        self.sent_at = time.monotonic()
+        self.sent_at = clock.monotonic()
         self._write(data)
 
     def decode(self, data: str | bytes | memoryview) -> list[Any]:
         """Decode what arrived and note that the peer is alive."""
-        self.heard_at = time.monotonic()
+        self.heard_at = clock.monotonic()
         return decode_frame(data, self._message_type)
 
     def forgive(self, late_s: float) -> None:
         """Count the peer's silence as shorter, by a time in which this process did not listen."""
-        self.heard_at = min(self.heard_at + late_s, time.monotonic())
+        self.heard_at = min(self.heard_at + late_s, clock.monotonic())
 
     def reset(self) -> None:
         """Close at once, so that nothing held up on the way is delivered later."""
--- a/dalemast/fleet/links/dialer.py
+++ b/dalemast/fleet/links/dialer.py
@@ -5,12 +5,12 @@
 import asyncio
 import random
 import socket
-import time
 from collections.abc import Callable
 from typing import Any
 
 from picows import WSError, WSParsedURL, ws_connect
 
+from dalemast import clock
 from dalemast.fleet.links.base import MAX_FRAME_BYTES, Link, LinkReceiver, LinkSocket
 from dalemast.observability import log_error
 
@@ -55,7 +55,7 @@
         self._make_receiver = make_receiver
         self._link: Link | None = None
         """The open link, from its opening on, which is before the task that dials hears of it."""
-        self._failing_since: float | None = time.monotonic()
+        self._failing_since: float | None = clock.monotonic()
         """Since when no link is open, or None while one is."""
         self._task = asyncio.create_task(self._keep())
 
@@ -78,13 +78,13 @@
                 self._failing_since = None
                 await opened.ended
                 self._link = None
-                self._failing_since = time.monotonic()
+                self._failing_since = clock.monotonic()
             await asyncio.sleep(self._get_retry_s(tries) * (0.5 + random.random()))
             tries = min(tries + 1, MAX_DOUBLINGS)
 
     def _get_retry_s(self, tries: int) -> float:
         """Return the pause after so many tries in a row that failed."""
-        now = time.monotonic()
+        now = clock.monotonic()
         if self.is_failing(now, longer_than_s=DOUBT_AFTER_S):
             return GIVE_UP_RETRY_S
         if self.is_failing(now, longer_than_s=RESTART_S):
--- a/dalemast/fleet/pauses.py
+++ b/dalemast/fleet/pauses.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import time
+from dalemast import clock
 
 __all__ = ["PauseWatch"]
 
@@ -12,7 +12,7 @@
 
     def __init__(self, *, limit_s: float) -> None:
         self._limit_s = limit_s
-        self._ticked_at = time.monotonic()
+        self._ticked_at = clock.monotonic()
 
     @property
     def checked_at(self) -> float:
@@ -25,7 +25,7 @@
         Called by the ticker and before each message is acted on, since a message that waited in
         the socket while the process stood still may be seen before the next tick.
         """
-        now = time.monotonic()
+        now = clock.monotonic()
         gap_s = now - self._ticked_at
         self._ticked_at = now
         return gap_s if gap_s > self._limit_s else 0.0
--- a/dalemast/fleet/process.py
+++ b/dalemast/fleet/process.py
@@ -4,10 +4,10 @@
 
 import abc
 import asyncio
-import time
 from collections.abc import Coroutine
 from typing import Any
 
+from dalemast import clock
 from dalemast.fleet.backends import load_backend
 from dalemast.fleet.base import BaseMemberStore
 from dalemast.fleet.book import AddressBook
@@ -125,9 +125,9 @@
     async def _tick_forever(self) -> None:
         while True:
             pause_s = TICK_S if self._is_busy else IDLE_TICK_S
-            due_at = time.monotonic() + pause_s
+            due_at = clock.monotonic() + pause_s
             await asyncio.sleep(pause_s)
-            late_s = time.monotonic() - due_at
+            late_s = clock.monotonic() - due_at
             if late_s > LATE_TICK_S:
                 self._forgive_silence(late_s)
             self._tick()
--- a/dalemast/platform/registration.py
+++ b/dalemast/platform/registration.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import abc
-import time
 
 import msgspec
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from dalemast import clock
 from dalemast.core.supervision import WorkerLife
 from dalemast.core.workloads import Resources
 from dalemast.fleet.base import BaseRegistration, WorkerObserver
@@ -117,7 +117,7 @@
         life = _make_life(make_life_id(worker_id, beat.born), beat)
         account = Account(service=life.service, capacity=life.capacity, labels=life.labels)
         is_news = self._lines.take(
-            life.id, account, beat.seq, is_leaving=life.is_leaving, now=time.monotonic()
+            life.id, account, beat.seq, is_leaving=life.is_leaving, now=clock.monotonic()
         )
         if not is_news:
             return
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from dalemast import clock
 from dalemast.core.clocks import LeastLead
 from dalemast.core.scheduling import EndReason
 from dalemast.core.supervision import (
@@ -128,7 +129,7 @@
         is_fresh = False
         may_have_arrived = False
         for timeout_s in START_TIMEOUTS_S:
-            lease_end = self._lease.join(now=time.monotonic(), limit=get_limit())
+            lease_end = self._lease.join(now=clock.monotonic(), limit=get_limit())
             if lease_end is None:
                 break
             call = StartCall(
@@ -184,7 +185,7 @@
 
     async def look(self, plan: LookPlan, *, limit: float) -> Look:
         """Ask what runs and what ended."""
-        asked_at = time.monotonic()
+        asked_at = clock.monotonic()
         headers = self._headers
         is_clock_known = self._clock.is_known
         lease_end = None
@@ -260,7 +261,7 @@
         if not self._clock.is_known:
             # Past on any clock: the worker refuses the order as too late.
             return 0
-        return int((at + self._clock.get(now=time.monotonic())) * 1000)
+        return int((at + self._clock.get(now=clock.monotonic())) * 1000)
 
     def _read_start(self, response: JsonResponse, headers: dict[str, str]) -> StartOutcome:
         if response.status == WRONG_LIFE:
@@ -291,7 +292,7 @@
 
     def _follow_clock(self, clock_ms: float | None) -> None:
         if clock_ms is not None:
-            now = time.monotonic()
+            now = clock.monotonic()
             self._clock.show(clock_ms / 1000 - now, now=now)
 
     def _raise_fence(self) -> None:
--- a/tests/fleet/test_bounds.py
+++ b/tests/fleet/test_bounds.py
@@ -15,13 +15,13 @@
 
 import asyncio
 import signal
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
 from unittest import mock
 
+from dalemast import clock
 from dalemast.emulator import EmulatedWorker
 from dalemast.emulator.runs import Order
 from dalemast.fleet.agent.owner_sessions import OwnerSession
@@ -132,7 +132,7 @@
             async with LocalFleet(entries=1, workers=1) as fleet:
                 owners = fleet.agents[0]._owners
                 (earlier,) = owners._sessions.values()
-                link = mock.Mock(is_open=True, sent_at=0.0, heard_at=time.monotonic())
+                link = mock.Mock(is_open=True, sent_at=0.0, heard_at=clock.monotonic())
                 later = OwnerSession(link=link, links=owners)
                 assert earlier.member is not None
                 later.receive([EntryHello(member=to_row(earlier.member))])
--- a/tests/fleet/test_claims.py
+++ b/tests/fleet/test_claims.py
@@ -188,7 +188,7 @@
         super().setUp()
         self.now = START
         # The clock is that of the module under test alone; the loop keeps its own.
-        clock = mock.patch("dalemast.fleet.entry.claims.time", mock.Mock(monotonic=self._read))
+        clock = mock.patch("dalemast.fleet.entry.claims.clock", mock.Mock(monotonic=self._read))
         clock.start()
         self.addCleanup(clock.stop)
         self.a, self.b, self.c = (Entry(name) for name in "abc")
--- a/tests/fleet/test_desk.py
+++ b/tests/fleet/test_desk.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from unittest import mock
 
+from dalemast import clock
 from dalemast.core.ownership import Granted, Held
 from dalemast.core.scheduling import (
     EndReason,
@@ -65,7 +65,7 @@
     """A desk whose agents and claims are played by hand."""
 
     def make_desk(self, *workers: str) -> JobDesk:
-        self.now = time.monotonic()
+        self.now = clock.monotonic()
         self.starts: list[StartTask] = []
         self.stops: list[StopTask] = []
         self.claims = FakeClaims()
@@ -191,10 +191,10 @@
         async def scenario() -> None:
             desk = self.make_desk("w1")
             job = await self.submit(desk)
-            dropped_at = time.monotonic()
+            dropped_at = clock.monotonic()
             desk.leave(JOB)
             found_at = dropped_at + 0.9 * TIMES.lost_run_s
-            with mock.patch("dalemast.fleet.entry.desk.time.monotonic", return_value=found_at):
+            with mock.patch("dalemast.clock.monotonic", return_value=found_at):
                 desk.apply(self.scheduler.reconcile("w1", [(JOB, KEY, 1)], now=found_at))
             self.assertEqual([1, 1], [stop.run for stop in self.stops])
             desk.tick(dropped_at + TIMES.lost_run_s + 0.1)
@@ -220,12 +220,12 @@
             first = await self.submit(desk)
             desk.leave(JOB)
             await first
-            desk.tick(time.monotonic() + TIMES.lost_run_s)
+            desk.tick(clock.monotonic() + TIMES.lost_run_s)
             second = await self.submit(desk)
             old, new = self.starts
             desk.apply(
                 self.scheduler.end_run(
-                    "w1", JOB, KEY, old.run, EndReason.NO_ROOM, run_s=0.0, now=time.monotonic()
+                    "w1", JOB, KEY, old.run, EndReason.NO_ROOM, run_s=0.0, now=clock.monotonic()
                 )
             )
             self.assertEqual([old, new], self.starts)
--- a/tests/fleet/test_routes.py
+++ b/tests/fleet/test_routes.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any
 from unittest import mock
 
 import msgspec
 
+from dalemast import clock
 from dalemast.core.supervision import Supervisor, SupervisorLimits
 from dalemast.fleet.agent.owner_sessions import PROBE_PATIENCE_S, OwnerSession
 from dalemast.fleet.agent.relay import EntryRelay
@@ -38,7 +38,7 @@
     def __init__(self) -> None:
         self.sent: list[Any] = []
         self.is_open = True
-        self.heard_at = time.monotonic()
+        self.heard_at = clock.monotonic()
 
     def send(self, message: Any) -> None:
         self.sent.append(message)
@@ -102,7 +102,7 @@
         relay.take_ask(self.sessions[OWN], EntriesAsk(number=1, suspects=(PEER, OTHER)))
         (asked,) = self.take(PEER)
         self.assertIsInstance(asked, ClockAsk)
-        suspect, now = self.sessions[PEER], time.monotonic()
+        suspect, now = self.sessions[PEER], clock.monotonic()
         self.assertFalse(suspect.has_missed_probe(now=now))
         self.assertTrue(suspect.has_missed_probe(now=now + PROBE_PATIENCE_S + 0.01))
         suspect.link.heard_at = now + 0.1
@@ -110,10 +110,10 @@
 
     def test_a_probe_does_not_count_while_the_agent_did_not_listen(self) -> None:
         relay = self.make_relay(OWN, PEER)
-        suspect, now = self.sessions[PEER], time.monotonic()
+        suspect, now = self.sessions[PEER], clock.monotonic()
         suspect.link.forgive = lambda late_s: None  # type: ignore[method-assign]
         relay.take_ask(self.sessions[OWN], EntriesAsk(number=1, suspects=(PEER,)))
-        with mock.patch("time.monotonic", return_value=now + 1.0):
+        with mock.patch("dalemast.clock.monotonic", return_value=now + 1.0):
             suspect.forgive(1.0)
         self.assertFalse(suspect.has_missed_probe(now=now + 1.0))
 
@@ -229,7 +229,7 @@
         def scenario(routes: PeerRoutes) -> None:
             self.assertEqual([], self.hear(routes, 0, PEER))
             self.assertTrue(routes.is_searching)
-            routes.tick(time.monotonic() + DIAL_FIRST_S + 0.01)
+            routes.tick(clock.monotonic() + DIAL_FIRST_S + 0.01)
             sent = self.agent.link.take()
             self.assertEqual([EntriesAsk, Relayed], [type(message) for message in sent])
             self.assertEqual((PEER,), sent[0].suspects)
--- a/tests/fleet/test_said.py
+++ b/tests/fleet/test_said.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from unittest import mock
 
 import testtools
 
+from dalemast import clock
 from dalemast.core.scheduling import EndReason
 from dalemast.core.supervision import RunId
 from dalemast.core.workloads import TaskKey
@@ -50,7 +50,7 @@
 
     def say(self, *, ago_s: float) -> float:
         """Take in a frame that was said a while ago; return the age that it is given."""
-        now = time.monotonic()
+        now = clock.monotonic()
         self.session.note_said(Said(at_ms=int((now - ago_s + ENTRY_AHEAD_S) * 1000)))
         return now - self.session.said_at
 
--- a/tests/fleet/test_words.py
+++ b/tests/fleet/test_words.py
@@ -7,6 +7,7 @@
 from typing import Any
 from unittest import mock
 
+from dalemast import clock
 from dalemast.core.workloads import TaskKey
 from dalemast.fleet.frames import Reconciled, RunRow, Said, Starts, Stop, WorkerNews
 from tests.base import AsyncTestCase, wait_until
@@ -28,7 +29,7 @@
                 said = entry._agents._make_said()
                 self.assertIsInstance(said, Said)
                 self.assertEqual(int(entry._pauses.checked_at * 1000), said.at_ms)
-                self.assertLessEqual(said.at_ms, (time.monotonic() - ASIDE_S) * 1000)
+                self.assertLessEqual(said.at_ms, (clock.monotonic() - ASIDE_S) * 1000)
 
         self.run_async(run())
 
--- a/tests/histories/fleet.py
+++ b/tests/histories/fleet.py
@@ -152,6 +152,7 @@
         random.seed(self._history.seed)
         with contextlib.ExitStack() as stack:
             for target, value in {
+                "dalemast.clock.monotonic": self._timeline.get_now,
                 "time.monotonic": self._get_steady_clock,
                 "time.time": self._timeline.get_time_of_day,
                 "dalemast.fleet.links.dialer.ws_connect": self._open_web_socket,
--- a/tests/histories/test_suspended_hosts.py
+++ b/tests/histories/test_suspended_hosts.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import unittest
+
 from tests.histories.base import Cut, HangUp, JobPlan, Suspend
 from tests.histories.draw import draw_suspended_history, play
 from tests.histories.test_orders import AT_ONCE_S, LONG_S, OrdersTestCase
