--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -48,6 +48,17 @@
             stderr=self._log,
         )
 
+    def describe(self) -> str:
+        """Return whether it lives, and what the system says it is doing, or how it ended."""
+        if self._process is None:
+            return f"{self.name}: never started"
+        code = self._process.poll()
+        if code is not None:
+            return f"{self.name}: exit code {code}"
+        status = Path(f"/proc/{self._process.pid}/status").read_text().splitlines()
+        state = next(line for line in status if line.startswith("State:"))
+        return f"{self.name}: process {self._process.pid}, {state}"
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to this process alone, if it lives."""
         if self._process is not None and self._process.poll() is None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -253,7 +253,8 @@
             states = [(p.name, await self._cluster.get_state(p)) for p in programs]
             laggards = [n for n, state in states if not state or state["evacuated"] != data_centres]
         if laggards:
-            self._report.broken.append(f"evacuated {data_centres} is not known to {laggards}")
+            silent = [program.describe() for program in programs if program.name in laggards]
+            self._report.broken.append(f"evacuated {data_centres} is not known to {silent}")
 
     async def _wait_for_calm(self, when: str) -> None:
         """Wait until every entry has the newest version and a worker that takes tasks."""
