--- a/dalemast/core/scheduling/crashes.py
+++ b/dalemast/core/scheduling/crashes.py
@@ -11,8 +11,8 @@
 failed, and to start tasks apart or alone after a first one would keep room from all others.
 
 A worker that falls silent, or whose agent does, may have crashed, or be cut off. Such an end counts
-only as unseen, and five ends of either kind are the bound. It counts as
-seen once another life is there in its place, and not at all once that life is back.
+only as unseen, and five ends of either kind are the bound. It counts as seen once another life is
+there in its place, and not at all once that life is back.
 
 What is known of a task is a set of workers' lives, told by their agents to all entries and kept by
 the job's id. What was seen only grows, whoever tells it, how often and in which order, for as long
--- /dev/null
+++ b/tests/fleet/test_crashes.py
@@ -0,0 +1,109 @@
+"""Tasks that crash their workers, over real links: what is told, and to whom."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from dalemast.core.scheduling import CrashedTask
+from dalemast.core.workloads import TaskKey
+from dalemast.fleet.crashes import MAX_CRASHES, CrashMemory, make_crashed, read_crashed
+from dalemast.fleet.entry.agents import AgentLinks
+from dalemast.fleet.frames import AgentMessage, Crashed, PeerMessage, decode_frame
+from tests.base import AsyncTestCase
+from tests.fleet.base import LocalFleet, make_text
+
+JOB = "00000000000000e1"
+SOUND_JOB = "00000000000000e2"
+CRASH_S = 0.05
+
+
+class CrashingTaskTests(AsyncTestCase):
+    async def submit(self, fleet: LocalFleet, entry: int) -> str:
+        """Submit the job whose task crashes its worker; return how it ended."""
+        text = make_text(1.0, crash_s=CRASH_S)
+        answer = await fleet.submit_like_a_caller(JOB, entry=entry, text=text)
+        self.assertEqual(200, answer.status)
+        return str(answer.decode(dict[str, str])["state"])
+
+    def test_a_job_that_crashes_its_workers_is_answered_as_failed(self) -> None:
+        async def run() -> None:
+            async with LocalFleet(entries=2, workers=5) as fleet:
+                sound = asyncio.create_task(
+                    fleet.submit_like_a_caller(SOUND_JOB, text=make_text(1.0), count=4)
+                )
+                self.assertEqual("failed", await self.submit(fleet, entry=0))
+                starts = len(fleet.get_started(JOB))
+                self.assertLessEqual(starts, 3)
+                # The other entry was told of it, and asked for the job it starts nothing.
+                self.assertEqual("failed", await self.submit(fleet, entry=1))
+                self.assertEqual(starts, len(fleet.get_started(JOB)))
+                self.assertEqual("succeeded", (await sound).decode(dict[str, str])["state"])
+
+        self.run_async(run())
+
+
+class CrashMemoryTests(unittest.TestCase):
+    def make(self, life: str, *, is_seen: bool = True) -> Crashed:
+        row = CrashedTask(job_id=JOB, task=TaskKey(0, 1), age_s=0.0312)
+        return make_crashed(life, [row], is_seen=is_seen)
+
+    def test_a_message_says_what_it_was_made_of(self) -> None:
+        rows = [
+            CrashedTask(job_id=JOB, task=TaskKey(0, 1), age_s=0.25),
+            CrashedTask(job_id=JOB, task=TaskKey(2, 0), age_s=None),
+        ]
+        self.assertEqual(rows, read_crashed(make_crashed("i-1", rows)))
+
+    def test_entries_hear_it_from_agents_and_from_one_another(self) -> None:
+        for kind in (AgentMessage, PeerMessage):
+            frame = '[["Z","i-1",[["00000000000000e1",0,1,0.03]],true]]'
+            (news,) = decode_frame(frame, kind)
+            self.assertEqual("i-1", news.worker)
+
+    def test_the_oldest_goes_when_there_are_too_many(self) -> None:
+        memory = CrashMemory()
+        for number in range(2 * MAX_CRASHES):
+            memory.add(self.make(f"i-{number}"))
+        self.assertEqual(MAX_CRASHES, len(memory.crashes))
+        self.assertEqual(f"i-{MAX_CRASHES}", memory.crashes[0].worker)
+
+    def test_a_silent_life_that_is_back_is_forgotten(self) -> None:
+        memory = CrashMemory()
+        memory.add(self.make("i-1", is_seen=False))
+        self.assertEqual([], memory.note_there("i-1"))
+        self.assertEqual((), memory.crashes)
+
+    def test_a_silent_life_that_another_one_follows_has_ended(self) -> None:
+        memory = CrashMemory()
+        memory.add(self.make("i-1", is_seen=False))
+        (ended,) = memory.note_there("i-2")
+        self.assertTrue(ended.is_seen)
+        self.assertEqual((ended,), memory.crashes)
+        self.assertEqual([], memory.note_there("i-2"))
+
+
+class OwnerTests(unittest.TestCase):
+    def test_an_owner_tells_its_peers_of_its_own_tasks(self) -> None:
+        scheduler = mock.Mock(open_jobs={JOB: None})
+        tell_peers = mock.Mock()
+        links = AgentLinks(
+            member=mock.Mock(),
+            book=mock.Mock(),
+            scheduler=scheduler,
+            evacuations=mock.Mock(),
+            times=mock.Mock(),
+            apply=mock.Mock(),
+            get_checked_at=mock.Mock(),
+            check_pause=mock.Mock(),
+            note_end=mock.Mock(),
+            tell_peers=tell_peers,
+        )
+        links.set_routes(mock.Mock())
+        rows = [
+            CrashedTask(job_id=job_id, task=TaskKey(0, 0), age_s=0.25) for job_id in (JOB, "other")
+        ]
+        links.take(mock.Mock(), make_crashed("i-1", rows))
+        tell_peers.assert_called_once_with(make_crashed("i-1", rows[:1]))
+        scheduler.note_crash.assert_called_once_with("i-1", rows, now=mock.ANY, is_seen=True)
