--- a/tests/histories/base.py
+++ b/tests/histories/base.py
@@ -20,6 +20,7 @@
     "JobPlan",
     "Kill",
     "Outcome",
+    "Resize",
     "Silence",
     "Suspend",
 ]
@@ -114,6 +115,15 @@
     most: int = 1_000
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Resize:
+    """A worker has another capacity from now on; its next report says so."""
+
+    worker: str
+    at_s: float
+    cpu: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HangUp:
     """A caller loses its connection and submits its job again. Its entry may not hear of it."""
@@ -123,7 +133,7 @@
     is_heard: bool = True
 
 
-Fault = Freeze | Suspend | Kill | Cut | Silence | Drop | CallFault | HangUp
+Fault = Freeze | Suspend | Kill | Cut | Silence | Drop | CallFault | Resize | HangUp
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/histories/draw.py
+++ b/tests/histories/draw.py
@@ -18,12 +18,20 @@
     JobPlan,
     Kill,
     Outcome,
+    Resize,
     Silence,
     Suspend,
 )
 from tests.histories.fleet import ModelFleet
 
-__all__ = ["draw_cut_history", "draw_history", "draw_suspended_history", "play", "shrink"]
+__all__ = [
+    "draw_cut_history",
+    "draw_history",
+    "draw_news_history",
+    "draw_suspended_history",
+    "play",
+    "shrink",
+]
 
 RUN_S = ((0.05, 0.3), (0.5, 2.0), (3.0, 6.0))
 """Bounds on run times: the shortest tasks of the platform, and those that outlive a fault."""
@@ -61,6 +69,10 @@
 SUSPENDED_SHARE = 0.5
 """Share of the histories with a suspended host beside those that take a frozen process's place."""
 SUSPENDED_S = (0.3, 0.6, 1.0, 1.4, 2.5)
+AWAY_S = (0.004, 0.03, 0.4, 2.5)
+"""How long a worker that begins anew is away: less than a look takes, and up to what it does on the
+platform."""
+CRASHING_SHARE = 0.4
 PAIR_SHARE = 0.3
 """Share of faults of calls after which the next call goes wrong otherwise."""
 
@@ -165,6 +177,38 @@
     return replace(history, faults=tuple(faults))
 
 
+def draw_news_history(seed: int) -> History:
+    """Return a drawn history with suspended hosts in which workers begin anew under their ids.
+
+    Their capacity changes, and some tasks end them.
+    """
+    rng = random.Random(f"news {seed}")
+    history = draw_suspended_history(seed)
+    faults = list(history.faults)
+    for _ in range(rng.choice((1, 1, 2, 3))):
+        worker = f"worker-{rng.randrange(2)}"
+        at_s, away_s = rng.uniform(0.0, 3.0), rng.choice(AWAY_S)
+        faults.append(Kill(process=worker, at_s=at_s, for_s=away_s))
+    for _ in range(rng.choice((0, 1, 2, 4))):
+        worker = f"worker-{rng.randrange(2)}"
+        cpu = rng.choice((0, 1000, 2000, 3000, 6000))
+        faults.append(Resize(worker=worker, at_s=rng.uniform(-0.5, 4.0), cpu=cpu))
+    jobs = tuple(
+        replace(job, crash_s=tuple(rng.choice((None, None, 0.01, 0.25)) for _ in job.run_s))
+        if rng.random() < CRASHING_SHARE
+        else job
+        for job in history.jobs
+    )
+    return replace(
+        history,
+        jobs=jobs,
+        faults=tuple(faults),
+        keeps_ids=True,
+        back_s=rng.choice(AWAY_S),
+        lasts_s=OUTLASTING_S,
+    )
+
+
 def shrink(history: History) -> History:
     """Leave out of a history whatever its broken promise does not need."""
     kind = _get_kind(play(history))
--- a/tests/histories/fleet.py
+++ b/tests/histories/fleet.py
@@ -41,6 +41,7 @@
     JobPlan,
     Kill,
     Outcome,
+    Resize,
     Silence,
     Suspend,
 )
@@ -229,6 +230,7 @@
             ],
             on_start=self._check_start,
             on_crash=self._crash,
+            on_overload=self._break,
             note=self._note,
         )
         self._workers.append(worker)
@@ -315,6 +317,8 @@
                 self._network.silence(fault.first, fault.second)
             case Drop():
                 self._network.drop(fault.first, fault.second)
+            case Resize():
+                next(w for w in self._workers if w.name == fault.worker).resize(fault.cpu)
             case HangUp():
                 self._hang_up(fault)
 
--- a/tests/histories/worker.py
+++ b/tests/histories/worker.py
@@ -28,6 +28,8 @@
 DATA_CENTRE = "austin"
 STOP_S = 0.05
 """The longest time that a stop takes; from the platform."""
+SHRUNK_S = 4.5
+"""When room that has shrunk counts: 3 s and a report's pause; from the platform."""
 HOLD_GRAIN_S = 0.005
 """How often a waiting answer looks for an end."""
 ANSWER_S = (0.0003, 0.002)
@@ -74,6 +76,7 @@
         faults: list[CallFault],
         on_start: Callable[[StartedRun], None],
         on_crash: Callable[[ModelWorker, str], None],
+        on_overload: Callable[[str], None],
         note: Callable[[str, str], None],
     ) -> None:
         self.host = ModelHost(name=name, timeline=timeline)
@@ -89,6 +92,10 @@
         self._used_faults: dict[int, int] = {}
         self._on_start = on_start
         self._on_crash = on_crash
+        self._on_overload = on_overload
+        self._guards = True
+        """Whether it refuses what has no room; one whose room changes leaves that to its agent."""
+        self._shrunk_at = float("-inf")
         self._note = note
         self._runs = EmulatedRuns()
         self._cpus: dict[str, int] = {}
@@ -134,6 +141,13 @@
         self._advance()
         return {task: active.order.run for task, active in self._runs.active.items()}
 
+    def resize(self, cpu: int) -> None:
+        """Have another capacity from now on, and start whatever it is told."""
+        if cpu < self._cpu:
+            self._shrunk_at = self._timeline.now
+        self._cpu = cpu
+        self._guards = False
+
     def crash(self) -> None:
         """End this life with all that runs; the next one begins once its host is up again."""
         self._done = self.done
@@ -252,7 +266,7 @@
             fence=call["fence"],
             run_s=text.run_s[position],
         )
-        if not is_there and not self._has_room(text.cpu):
+        if not is_there and self._guards and not self._has_room(text.cpu):
             # Room is looked at last: a start that is refused for another reason says so.
             return self._renew(call) or "room"
         earlier_run = self.get_active().get(task)
@@ -264,6 +278,8 @@
         )
         if not reason and not is_there:
             self._cpus[task] = text.cpu
+            if not self._has_room(0) and self._timeline.now > self._shrunk_at + SHRUNK_S:
+                self._on_overload(f"{task} run {run} begins on {self.name} beyond its room")
             self._on_start(
                 StartedRun(
                     worker=self.name,
