--- a/dalemast/core/scheduling/crashes.py
+++ b/dalemast/core/scheduling/crashes.py
@@ -12,7 +12,8 @@
 
 A worker that falls silent, or whose agent does, may have crashed, or be cut off. Such an end counts
 only as unseen, and five ends of either kind are the bound. It counts as seen once another life is
-there in its place, and not at all once that life is back.
+there in its place, and not at all once that life is back. The end of a worker that had just been
+told to start a task is never more than unseen: the task may have come too late to be its cause.
 
 What is known of a task is a set of workers' lives, told by their agents to all entries and kept by
 the job's id. What was seen only grows, whoever tells it, how often and in which order, for as long
@@ -50,12 +51,19 @@
     """The end of one life of a worker under a task.
 
     ``age_s`` is how long the task had run, in seconds, or None where nobody saw it. ``is_seen``
-    tells that the worker's process was found gone, or another life in its place.
+    tells that the worker's process was found gone, or another life in its place, and
+    ``has_begun`` that the task was seen to run there.
     """
 
     life: str
     age_s: float | None
     is_seen: bool = True
+    has_begun: bool = True
+
+    @property
+    def is_sure(self) -> bool:
+        """Whether a worker has surely ended under the task."""
+        return self.is_seen and self.has_begun
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,6 +73,7 @@
     job_id: str
     task: TaskKey
     age_s: float | None
+    has_begun: bool = True
 
 
 @dataclass(kw_only=True, slots=True)
@@ -95,7 +104,7 @@
     def note(self, job_id: str, task: TaskKey, crash: Crash, *, now: float) -> bool:
         """Take in a crash; return whether it was news."""
         before = next((c for c in self.get(job_id, task) if c.life == crash.life), None)
-        if before is not None and (before.is_seen or not crash.is_seen):
+        if before is not None and (before.is_sure or not crash.is_sure):
             return False
         known = self._jobs.pop(job_id, None) or JobCrashes(noted_at=now)
         known.noted_at = now
@@ -129,7 +138,7 @@
     def is_guilty(self, job_id: str, task: TaskKey) -> bool:
         """Tell whether a task is to be given up."""
         ends = self.get(job_id, task)
-        crashes = [end for end in ends if end.is_seen]
+        crashes = [end for end in ends if end.is_sure]
         if len(crashes) >= MOST_CRASHES or len(ends) >= MOST_ENDS:
             return True
         return _are_two_alike(crashes)
@@ -140,7 +149,7 @@
             CrashedTask(job_id=job_id, task=task, age_s=ends[life].age_s)
             for job_id, known in self._jobs.items()
             for task, ends in known.tasks.items()
-            if life in ends and not ends[life].is_seen
+            if life in ends and ends[life].has_begun and not ends[life].is_seen
         ]
 
     def clear_unseen(self, life: str) -> set[str]:
@@ -168,5 +177,5 @@
 
 def _are_two_alike(crashes: Iterable[Crash]) -> bool:
     """Tell whether a task had run for about the same time at two crashes that were seen."""
-    ages = sorted(c.age_s for c in crashes if c.is_seen and c.age_s is not None)
+    ages = sorted(c.age_s for c in crashes if c.is_sure and c.age_s is not None)
     return any(later - age <= SAME_AGE_S for age, later in pairwise(ages))
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -233,7 +233,7 @@
         """
         suspects: dict[str, Job] = {}
         for row in tasks:
-            crash = Crash(life=life, age_s=row.age_s, is_seen=is_seen)
+            crash = Crash(life=life, age_s=row.age_s, is_seen=is_seen, has_begun=row.has_begun)
             is_news = self._crashes.note(row.job_id, row.task, crash, now=now)
             job = self._jobs.get(row.job_id)
             if job is None:
--- a/dalemast/core/supervision/base.py
+++ b/dalemast/core/supervision/base.py
@@ -67,6 +67,8 @@
     """The order's lease had ended on the worker's clock before it was carried out."""
     FENCED = "fenced"
     """The worker has seen a higher fencing token."""
+    NOT_LISTENING = "not-listening"
+    """Nothing listened at any try, or another life did: no worker has seen the order."""
     REJECTED = "rejected"
     """The worker said that it did nothing."""
     WRONG_LIFE = "wrong-life"
--- a/dalemast/core/supervision/runs.py
+++ b/dalemast/core/supervision/runs.py
@@ -45,6 +45,8 @@
         self.phase = RunPhase.ORDERED
         self.ordered_at = ordered_at
         self.started_at = ordered_at
+        self.has_begun = False
+        """Whether the worker has said that it runs."""
         self.expires_at: float | None = None
         """When an unanswered order can no longer be carried out."""
         self.is_order_open = True
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -269,6 +269,7 @@
             return []
         if outcome is StartOutcome.RUNNING:
             run.phase = RunPhase.RUNNING
+            run.has_begun = True
             run.started_at = now
             run.progressed_at = now
             return []
@@ -277,6 +278,10 @@
             self._begin_stop(run, now)
             run.expires_at = expires_at
             return [OrderStop(run_id=run_id), ReportRoom()]
+        if outcome is StartOutcome.NOT_LISTENING:
+            # Until a look finds the worker there, or gone: others would be turned away one by one.
+            self._acceptance.is_silent = True
+            return self._end(run, EndReason.NOT_TAKEN, now)
         if outcome in (StartOutcome.REJECTED, StartOutcome.WRONG_LIFE, StartOutcome.FENCED):
             self._health.note_failed(run_id.job_id, now=now)
             return self._end(run, EndReason.NOT_TAKEN, now)
@@ -379,6 +384,7 @@
             self._strays.add(row.run_id)
             return [OrderStop(run_id=row.run_id)]
         run.listed_at = now
+        run.has_begun = True
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.RUNNING
             run.started_at = now
--- a/dalemast/fleet/crashes.py
+++ b/dalemast/fleet/crashes.py
@@ -69,6 +69,7 @@
                 step=row.task.step,
                 position=row.task.position,
                 age_s=-1.0 if row.age_s is None else round(row.age_s, 4),
+                has_begun=row.has_begun,
             )
             for row in tasks
         ),
@@ -82,6 +83,7 @@
             job_id=row.job,
             task=TaskKey(row.step, row.position),
             age_s=None if row.age_s < 0 else row.age_s,
+            has_begun=row.has_begun,
         )
         for row in news.tasks
     ]
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -235,6 +235,7 @@
     step: int
     position: int
     age_s: float
+    has_begun: bool = True
 
 
 class Crashed(Message, frozen=True, tag="Z"):
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -161,8 +161,7 @@
             return outcome
         if may_have_arrived:
             return StartOutcome.UNANSWERED
-        # Nothing listened, or another life did: no worker has seen the order.
-        return StartOutcome.REJECTED if is_fresh else StartOutcome.EXPIRED
+        return StartOutcome.NOT_LISTENING if is_fresh else StartOutcome.EXPIRED
 
     async def stop(self, run_id: RunId) -> bool:
         """Order a stop; return whether it was answered."""
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -99,6 +99,12 @@
     def test_a_job_that_lost_two_workers_is_not(self) -> None:
         self.assertFalse(self.note_tasks((0.03, 0.03)))
 
+    def test_a_task_that_may_have_come_too_late_is_no_cause(self) -> None:
+        """Told three workers in a row that had ended by then, it has cost none of them."""
+        for number in range(MOST_CRASHES):
+            self.assertFalse(self.is_guilty(make_crash(f"i-{number}", has_begun=False)))
+        self.assertEqual([], self.records.list_unseen("i-1"))
+
     def test_ends_that_nobody_saw_are_no_proof_until_they_are_as_many_as_allowed(self) -> None:
         """Workers that are cut off again and again look the same."""
         for number in range(MOST_ENDS - 1):
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -25,6 +25,7 @@
     SupervisorLimits,
     WorkerHealth,
     WorkerLife,
+    list_crashed,
 )
 from dalemast.core.supervision.runs import DECLARED_ERROR
 from dalemast.core.supervision.supervisor import STOP_MARGIN_S
@@ -400,3 +401,37 @@
         health.note_failed("b", now=0.0)
         health.note_done()
         self.assertTrue(health.may_start(running=5, now=0.1))
+
+
+class CrashedTests(SupervisorTestCase):
+    """Whom a crash of the worker names."""
+
+    def name_crashed(self) -> list[tuple[str, float | None, bool]]:
+        runs = list(self.supervisor.runs.values())
+        return [(row.job_id, row.age_s, row.has_begun) for row in list_crashed(runs, now=1.5)]
+
+    def test_what_runs_is_named_with_its_age(self) -> None:
+        self.run_task(make_start())
+        self.assertEqual([("a", 0.5, True)], self.name_crashed())
+
+    def test_a_start_on_its_way_may_have_come_too_late(self) -> None:
+        self.start(make_start())
+        self.assertEqual([("a", None, False)], self.name_crashed())
+
+    def test_a_run_that_is_listed_before_its_start_is_answered_has_begun(self) -> None:
+        request = make_start()
+        self.start(request)
+        self.look(ListedRun(request.run_id, 1.0), now=1.2)
+        self.assertEqual([True], [has_begun for _, _, has_begun in self.name_crashed()])
+
+    def test_after_a_start_that_found_nothing_there_none_is_taken_until_a_look(self) -> None:
+        request = make_start()
+        self.start(request)
+        actions = self.supervisor.take_outcome(
+            request.run_id, StartOutcome.NOT_LISTENING, now=1.0, expires_at=1.0
+        )
+        (report,) = pick(actions, ReportEnd)
+        self.assertIs(EndReason.NOT_TAKEN, report.reason)
+        self.assertFalse(self.supervisor.is_accepting(now=1.0))
+        self.look(now=1.1)
+        self.assertTrue(self.supervisor.is_accepting(now=1.1))
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -247,7 +247,7 @@
             await worker.crash()
             worker.start()
             outcome = await driver.start(make_request(run=7), get_limit=always)
-            self.assertIn(outcome, (StartOutcome.REJECTED, StartOutcome.UNANSWERED))
+            self.assertIn(outcome, (StartOutcome.NOT_LISTENING, StartOutcome.UNANSWERED))
             self.assertEqual(set(), worker.active_tasks)
 
         self.play(scenario)
@@ -285,7 +285,7 @@
         driver = PlatformWorkerDriver(settings=settings, lease_s=LEASE_S)
         driver.meet(make_life("first"))
         outcome = self.run_async(driver.start(make_request(), get_limit=always))
-        self.assertIs(StartOutcome.REJECTED, outcome)
+        self.assertIs(StartOutcome.NOT_LISTENING, outcome)
 
 
 class AnsweringClient:
