--- a/dalemast/emulator/worker.py
+++ b/dalemast/emulator/worker.py
@@ -37,6 +37,10 @@
 DEFAULT_RUN_S = 0.1
 CLOCK_AHEAD_S = 1000.0
 """How far a worker's clock is ahead of its agent's, where it does not begin anew with each life."""
+TASK_CPU = 1000
+"""What each task takes, in thousandths of a core, where its room is watched."""
+SHRUNK_S = 4.5
+"""When room that has shrunk counts: 3 s and one pause between reports; from the platform."""
 BACK_S = 2.5
 """When a worker is back that a task has made crash; from the platform's days."""
 VERSION = "v1"
@@ -129,6 +133,7 @@
         self._service = service
         self._zone = zone
         self._cpu = cpu
+        self._shrunk_at = float("-inf")
         self._address = address
         self._number = next(_numbers)
         self._lives = 0
@@ -199,8 +204,19 @@
 
     def set_cpu(self, cpu: int) -> None:
         """Change the room, in thousandths of a core; the next report says so."""
+        if cpu < self._cpu:
+            self._shrunk_at = time.monotonic()
         self._cpu = cpu
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether more runs than there has been room for since a while, as this worker's text says.
+
+        Room that has shrunk counts after :data:`SHRUNK_S`.
+        """
+        used = TASK_CPU * len(self.active_tasks)
+        return used > self._cpu and time.monotonic() > self._shrunk_at + SHRUNK_S
+
     def start(self) -> None:
         """Begin a life: listen and report."""
         self._lives += 1
