--- a/dalemast/agent/endpoints.py
+++ b/dalemast/agent/endpoints.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import abc
-import time
 
 import msgspec
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest
 
+from dalemast import clock
 from dalemast.core.gate import RunTask, TaskOutcome
 from dalemast.core.gate.base import OutcomeKind
 
@@ -51,7 +51,7 @@
 
     async def run(self, task: RunTask) -> TaskOutcome:
         """Post the task and judge the response."""
-        started_at = time.monotonic()
+        started_at = clock.monotonic()
         try:
             response = await self._client.fetch(self._make_request(task), raise_error=False)
         except CurlError as error:
@@ -113,5 +113,5 @@
         kind=kind,
         value=msgspec.Raw(b"null") if value is None else value,
         error=error,
-        run_ms=(time.monotonic() - started_at) * 1000.0,
+        run_ms=(clock.monotonic() - started_at) * 1000.0,
     )
--- a/dalemast/agent/engine.py
+++ b/dalemast/agent/engine.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import Protocol
 
 import msgspec
 
+from dalemast import clock
 from dalemast.agent.endpoints import BaseEndpoint
 from dalemast.core.gate import Gate, RunTask
 from dalemast.core.wire import AgentFrame, EntryFrame, EntryHello
@@ -61,7 +61,7 @@
 
     def open_link(self, hello: EntryHello, outlet: Outlet) -> bool:
         """Greet an owner on a new link; False when the link is refused."""
-        opened = self._gate.open_link(now=time.monotonic(), hello=hello)
+        opened = self._gate.open_link(now=clock.monotonic(), hello=hello)
         if opened is None:
             self._metrics.count("links.refused")
             return False
@@ -81,18 +81,18 @@
         """Note that a link ended."""
         if self._outlets.get(hello.owner) is outlet:
             del self._outlets[hello.owner]
-        self._gate.close_link(now=time.monotonic(), owner=hello.owner, connection=hello.connection)
+        self._gate.close_link(now=clock.monotonic(), owner=hello.owner, connection=hello.connection)
 
     def receive(self, owner: str, data: bytes | str) -> None:
         """Take a message of an owner."""
         self._metrics.count("frames.received")
         self._metrics.count("bytes.received", len(data))
-        self._gate.receive(now=time.monotonic(), owner=owner, frame=_decode_frame(data))
+        self._gate.receive(now=clock.monotonic(), owner=owner, frame=_decode_frame(data))
         self._schedule()
 
     def start_draining(self) -> None:
         """Refuse new starts."""
-        self._gate.start_draining(now=time.monotonic())
+        self._gate.start_draining(now=clock.monotonic())
         self._schedule()
 
     def stop_draining(self) -> None:
@@ -107,7 +107,7 @@
 
     def _collect(self) -> None:
         self._is_collecting = False
-        effects = self._gate.collect(now=time.monotonic())
+        effects = self._gate.collect(now=clock.monotonic())
         for run in effects.runs:
             task = asyncio.create_task(self._run(run))
             self._runs.add(task)
@@ -131,12 +131,12 @@
         outcome = await self._endpoint.run(run)
         self._metrics.count(f"tasks.{outcome.kind.value}")
         self._metrics.record("endpoint", run.service, outcome.run_ms / 1000.0)
-        self._gate.complete(now=time.monotonic(), outcome=outcome)
+        self._gate.complete(now=clock.monotonic(), outcome=outcome)
         self._schedule()
 
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
             if self._gate.queued or self._gate.link_count < len(self._gate.owner_names):
-                self._gate.tick(now=time.monotonic())
+                self._gate.tick(now=clock.monotonic())
                 self._schedule()
--- a/dalemast/agent/process.py
+++ b/dalemast/agent/process.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
+from dalemast import clock
 from dalemast.agent.endpoints import HttpEndpoint
 from dalemast.agent.engine import AgentEngine
 from dalemast.agent.links import LinkHandler
@@ -95,9 +95,9 @@
         """Refuse starts, finish what runs, and wait until owners have every answer."""
         self._engine.start_draining()
         log_event("agent:draining", name=self._settings.name)
-        give_up_at = time.monotonic() + self._settings.drain_limit_s
-        while time.monotonic() < give_up_at:
-            if self._engine.gate.is_idle(time.monotonic()):
+        give_up_at = clock.monotonic() + self._settings.drain_limit_s
+        while clock.monotonic() < give_up_at:
+            if self._engine.gate.is_idle(clock.monotonic()):
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
@@ -107,7 +107,7 @@
         cut_off = [
             f"task {run.owner}/{run.job}/{run.index} of {run.service}" for run in gate.get_running()
         ]
-        undelivered = gate.count_undelivered(time.monotonic())
+        undelivered = gate.count_undelivered(clock.monotonic())
         if undelivered:
             cut_off.append(f"{undelivered} frames with answers that no owner confirmed")
         return cut_off
--- a/dalemast/callers/client.py
+++ b/dalemast/callers/client.py
@@ -9,12 +9,12 @@
 
 import asyncio
 import secrets
-import time
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 
+from dalemast import clock
 from dalemast.core.exceptions import DalemastError
 from dalemast.core.verdicts import Run
 from dalemast.http.client import HttpFailure, JsonClient, JsonResponse
@@ -82,7 +82,7 @@
     async def submit(self, body: bytes, *, timeout_s: float = DEFAULT_TIMEOUT_S) -> CallerAnswer:
         """Submit a job and return its answer, complete or failed; raises :class:`NoAnswer`."""
         headers = await self._get_submission_headers()
-        started_at = time.monotonic()
+        started_at = clock.monotonic()
         for attempt in range(1, MAX_SENDS + 1):
             try:
                 response = await self._post("/v1/jobs", body, headers, timeout_s)
@@ -90,7 +90,7 @@
                 self._turn += 1
                 await asyncio.sleep(PAUSE_S * attempt)
                 continue
-            return self._take(response, time.monotonic() - started_at, attempt)
+            return self._take(response, clock.monotonic() - started_at, attempt)
         raise NoAnswer(f"no answer after {MAX_SENDS} sends")
 
     async def _get_submission_headers(self) -> dict[str, str]:
--- a/dalemast/entry/callers.py
+++ b/dalemast/entry/callers.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import hashlib
-import time
 from dataclasses import dataclass
 
 import msgspec
 from tornado.web import Finish
 
+from dalemast import clock
 from dalemast.core.configuration import Account
 from dalemast.core.dispatch import JobCancelled, JobRequest, JobResult
 from dalemast.core.exceptions import DalemastError
@@ -97,7 +97,7 @@
             address=self._context.address,
             incarnation=self._engine.incarnation,
             number=self._engine.ledger.issue(),
-            issued_ms=int(time.monotonic() * 1000),
+            issued_ms=int(clock.monotonic() * 1000),
         )
         return self._context.signer.sign_ticket(ticket)
 
@@ -114,14 +114,14 @@
         body = self.request.body
         request = read_job(body, account=account.name, limits=self._engine.configuration.limits)
         digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
-        started_at = time.monotonic()
+        started_at = clock.monotonic()
         submitting = self._engine.submit(key=key, digest=digest, request=request)
         self._pending = asyncio.ensure_future(submitting)
         try:
             result = await self._pending
         except asyncio.CancelledError as error:
             raise Finish from error
-        elapsed_s = time.monotonic() - started_at
+        elapsed_s = clock.monotonic() - started_at
         self._context.metrics.record("job", account.name, elapsed_s)
         _log_result(request, result, elapsed_s)
         return result
@@ -160,7 +160,7 @@
         ledger = self._engine.ledger
         if ledger.is_unused(ticket.number):
             ledger.check_life(
-                number=ticket.number, issued_ms=ticket.issued_ms, now=time.monotonic()
+                number=ticket.number, issued_ms=ticket.issued_ms, now=clock.monotonic()
             )
 
 
--- a/dalemast/entry/claims.py
+++ b/dalemast/entry/claims.py
@@ -10,12 +10,12 @@
 
 import asyncio
 import hashlib
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
 
+from dalemast import clock
 from dalemast.core.submissions import ClaimKey, KeyUnproved
 from dalemast.hosting import BaseTable, PlatformAnswerLost, PlatformError, Put, Row
 from dalemast.observability import Metrics
@@ -88,14 +88,14 @@
 
         What arrives meanwhile shares the write, so more entries mean a longer wait, not more load.
         """
-        now = time.monotonic()
+        now = clock.monotonic()
         if now < self._next_write_at:
             await asyncio.sleep(self._next_write_at - now)
         interval_s = self._get_entry_count() / TABLE_WRITES_PER_S
-        self._next_write_at = time.monotonic() + interval_s
+        self._next_write_at = clock.monotonic() + interval_s
 
     async def _write(self, batch: dict[str, asyncio.Future[ClaimOutcome]]) -> None:
-        started_at = time.monotonic()
+        started_at = clock.monotonic()
         self._metrics.count("claims.writes")
         self._metrics.count("claims.keys", len(batch))
         puts = tuple(Put(key=row_key, value=self._value) for row_key in batch)
@@ -106,7 +106,7 @@
         except PlatformError as error:
             self._fail(batch, error)
             return
-        self._metrics.record("claim", "all", time.monotonic() - started_at)
+        self._metrics.record("claim", "all", clock.monotonic() - started_at)
         for future, row in zip(batch.values(), rows, strict=True):
             _resolve(future, row)
 
--- a/dalemast/entry/engine.py
+++ b/dalemast/entry/engine.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 
 import msgspec
 
+from dalemast import clock
 from dalemast.core.configuration import Configuration, ConfigurationHolder
 from dalemast.core.dispatch import (
     CallerGone,
@@ -65,7 +65,7 @@
             configuration=self.configuration,
             policy=policy,
             rng=random.Random(incarnation),
-            now=time.monotonic(),
+            now=clock.monotonic(),
         )
         self._desk = SubmissionDesk(
             owner=self._owner, ledger=self.ledger, configuration=self.configuration
@@ -138,7 +138,7 @@
         Raises the refusal; a refused key stays refused.
         """
         try:
-            entry = self._desk.take(now=time.monotonic(), key=key, digest=digest, request=request)
+            entry = self._desk.take(now=clock.monotonic(), key=key, digest=digest, request=request)
         except DalemastError as error:
             self.metrics.count(f"submissions.refused.{error.code}")
             raise
@@ -199,7 +199,7 @@
     def open_link(self, worker: str, hello: AgentHello, sender: Sender) -> None:
         """Take a greeted link into use."""
         self._senders[worker] = sender
-        self._owner.open_link(now=time.monotonic(), worker=worker, hello=hello)
+        self._owner.open_link(now=clock.monotonic(), worker=worker, hello=hello)
         self._schedule()
 
     def close_link(self, worker: str) -> None:
@@ -223,7 +223,7 @@
             self.metrics.count("tasks.refused", len(frame.refusals))
             if not frame.answers:
                 self.metrics.count("frames.received.refusals")
-        self._owner.receive(now=time.monotonic(), worker=worker, frame=frame)
+        self._owner.receive(now=clock.monotonic(), worker=worker, frame=frame)
         self._schedule()
 
     # The loop
@@ -235,7 +235,7 @@
 
     def _collect(self) -> None:
         self._is_collecting = False
-        now = time.monotonic()
+        now = clock.monotonic()
         effects = self._owner.collect(now=now)
         for worker, frame in effects.frames:
             self._send(worker, frame)
@@ -266,7 +266,7 @@
         while True:
             is_busy = bool(self._owner.open_jobs)
             await asyncio.sleep(BUSY_TICK_S if is_busy else IDLE_TICK_S)
-            now = time.monotonic()
+            now = clock.monotonic()
             self._owner.tick(now=now)
             self.ledger.tick(now=now)
             self._schedule()
--- a/dalemast/entry/links.py
+++ b/dalemast/entry/links.py
@@ -5,13 +5,13 @@
 import asyncio
 import contextlib
 import random
-import time
 
 import msgspec
 from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.iostream import StreamClosedError
 from tornado.websocket import WebSocketClientConnection, WebSocketClosedError, websocket_connect
 
+from dalemast import clock
 from dalemast.core.configuration import Endpoint
 from dalemast.core.placement.views import is_in_view
 from dalemast.core.wire import AgentHello
@@ -107,7 +107,7 @@
                 if is_greeted:
                     retry_s = FIRST_RETRY_S
                     failing_since = None
-            now = time.monotonic()
+            now = clock.monotonic()
             failing_since = now if failing_since is None else failing_since
             if now - failing_since >= self._lost_after_s:
                 self._engine.lose_worker(endpoint.name)
--- a/dalemast/entry/process.py
+++ b/dalemast/entry/process.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
+from dalemast import clock
 from dalemast.core.dispatch import OwnerPolicy
 from dalemast.core.submissions import TicketSigner
 from dalemast.entry.accounts import Authenticator
@@ -128,8 +128,8 @@
         """Take no new job and answer every job that is open."""
         self._engine.start_draining()
         log_event("entry:draining", name=self._settings.name)
-        give_up_at = time.monotonic() + self._settings.drain_limit_s
-        while self._engine.open_jobs and time.monotonic() < give_up_at:
+        give_up_at = clock.monotonic() + self._settings.drain_limit_s
+        while self._engine.open_jobs and clock.monotonic() < give_up_at:
             await asyncio.sleep(DRAIN_POLL_S)
         await asyncio.sleep(LAST_ANSWERS_S)
 
--- a/dalemast/http/links.py
+++ b/dalemast/http/links.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Awaitable, Callable
 
 from tornado.iostream import StreamClosedError
 from tornado.websocket import WebSocketClosedError
 
+from dalemast import clock
+
 __all__ = ["LINK_PATH", "LinkWriter"]
 
 LINK_PATH = "/v1/link"
@@ -37,7 +38,7 @@
 
     def send(self, data: bytes) -> None:
         """Send a message without waiting."""
-        self._queue.put_nowait((time.monotonic() + self._delay_s, data))
+        self._queue.put_nowait((clock.monotonic() + self._delay_s, data))
 
     def end(self) -> None:
         """Send nothing more and close the link."""
@@ -49,5 +50,5 @@
             while True:
                 due_at, data = await self._queue.get()
                 if self._delay_s:
-                    await asyncio.sleep(max(0.0, due_at - time.monotonic()))
+                    await asyncio.sleep(max(0.0, due_at - clock.monotonic()))
                 await self._write(data)
--- a/dalemast/management/commands/demo.py
+++ b/dalemast/management/commands/demo.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import dataclass
 from typing import Annotated
 
 import cappa
 import msgspec
 
+from dalemast import clock
 from dalemast.callers import Caller, CallerAnswer
 from dalemast.http.client import JsonClient
 from dalemast.local import LocalProcess
@@ -35,7 +35,7 @@
         return asyncio.run(self._run())
 
     async def _run(self) -> int:
-        started_at = time.monotonic()
+        started_at = clock.monotonic()
         local = LocalProcess(callers=FREE_ADDRESS, operators=FREE_ADDRESS)
         await local.start()
         ideal_s = await self._measure_ideal(local)
@@ -43,7 +43,7 @@
         await caller.fetch_tickets(1)
         answer = await caller.submit(self._make_job())
         print_answer(answer)
-        print_figures(local, answer, ideal_s, time.monotonic() - started_at)
+        print_figures(local, answer, ideal_s, clock.monotonic() - started_at)
         await local.drain()
         await local.close()
         is_whole = answer.is_complete and len(answer.body["answers"]) == self.tables
@@ -56,9 +56,9 @@
         call = {"task": "ideal", "service": "seat-draw", "payload": payload}
         client = JsonClient()
         await client.request("POST", local.endpoints[0].url, body=call)
-        started_at = time.monotonic()
+        started_at = clock.monotonic()
         await client.request("POST", local.endpoints[0].url, body=call)
-        return time.monotonic() - started_at
+        return clock.monotonic() - started_at
 
     def _make_job(self) -> bytes:
         tasks = [
--- a/dalemast/management/ctl/apply.py
+++ b/dalemast/management/ctl/apply.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import dataclass
 from typing import Annotated
 
 import cappa
 from rich.progress import Progress
 
+from dalemast import clock
 from dalemast.entry.operators import ChangeBody, PlatformStatus
 from dalemast.management.commands.check import parse_configuration_file
 from dalemast.management.ctl.base import BaseCtlCommand, OperatorsClient
@@ -42,15 +42,15 @@
             return ExitCode.DONE
         body = ChangeBody(version=current.version, kinds=merge(current, wanted))
         response = await client.call("PUT", "/v1/configuration", body=body)
-        accepted_at = time.monotonic()
+        accepted_at = clock.monotonic()
         version = int(response.decode(dict[str, int])["version"])
         if self.wait:
             await self._wait(client, version)
-        self._report(version, len(changes), time.monotonic() - accepted_at)
+        self._report(version, len(changes), clock.monotonic() - accepted_at)
         return ExitCode.DONE
 
     async def _wait(self, client: OperatorsClient, version: int) -> None:
-        give_up_at = time.monotonic() + self.wait_limit_s
+        give_up_at = clock.monotonic() + self.wait_limit_s
         with Progress(disable=self.is_json, transient=True) as progress:
             bar = progress.add_task("in force", total=None)
             while True:
@@ -61,7 +61,7 @@
                 progress.update(bar, total=total, completed=done)
                 if done == total:
                     return
-                if time.monotonic() >= give_up_at:
+                if clock.monotonic() >= give_up_at:
                     raise NotInForce(f"version {version} is in force at {done} of {total} entries")
                 await asyncio.sleep(POLL_S)
 
--- a/dalemast/observability/metrics.py
+++ b/dalemast/observability/metrics.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import resource
-import time
 from collections import Counter
 
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from dalemast import clock
+
 __all__ = ["HistogramSummary", "Metrics", "MetricsDump"]
 
 LOWEST_US = 1
@@ -44,7 +45,7 @@
     def __init__(self) -> None:
         self._counters: Counter[str] = Counter()
         self._histograms: dict[tuple[str, str], HdrHistogram] = {}
-        self._started_at = time.monotonic()
+        self._started_at = clock.monotonic()
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
@@ -67,7 +68,7 @@
         """Return everything."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
         return MetricsDump(
-            uptime_s=round(time.monotonic() - self._started_at, 3),
+            uptime_s=round(clock.monotonic() - self._started_at, 3),
             processor_s=round(usage.ru_utime + usage.ru_stime, 3),
             resident_bytes=get_resident_bytes(),
             counters=dict(sorted(self._counters.items())),
