--- a/dalemast/emulator/simulation.py
+++ b/dalemast/emulator/simulation.py
@@ -347,7 +347,7 @@
 
     def _find_gone(self) -> None:
         now, life = self._simulation.now, self._name
-        tasks = list_crashed(list(self._supervisor.runs.values()), now=now)
+        tasks = list_crashed(list(self._supervisor.runs.values()), ended_at=now)
         for owner in range(self._owners):
             self._simulation.tell_owner(
                 owner, lambda scheduler: scheduler.note_crash(life, tasks, now=self._simulation.now)
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -246,7 +246,7 @@
         self._metrics.count("workers.crashed" if has_crashed else "workers.gone")
         if runs and not is_planned:
             # Before the ends of the runs, which let their owners start the tasks anew.
-            tasks = list_crashed(runs, now=now)
+            tasks = list_crashed(runs, ended_at=now if has_crashed else None)
             self._owners.report_crash(life.id, tasks, is_seen=has_crashed)
         log_event(
             "worker:gone",
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -406,14 +406,20 @@
 class CrashedTests(SupervisorTestCase):
     """Whom a crash of the worker names."""
 
-    def name_crashed(self) -> list[tuple[str, float | None, bool]]:
+    def name_crashed(self, ended_at: float | None = 1.5) -> list[tuple[str, float | None, bool]]:
         runs = list(self.supervisor.runs.values())
-        return [(row.job_id, row.age_s, row.has_begun) for row in list_crashed(runs, now=1.5)]
+        rows = list_crashed(runs, ended_at=ended_at)
+        return [(row.job_id, row.age_s, row.has_begun) for row in rows]
 
     def test_what_runs_is_named_with_its_age(self) -> None:
         self.run_task(make_start())
         self.assertEqual([("a", 0.5, True)], self.name_crashed())
 
+    def test_a_silent_worker_says_nothing_of_ages(self) -> None:
+        """Else two bystanders of workers that fell silent would both have the age of a lease."""
+        self.run_task(make_start())
+        self.assertEqual([("a", None, True)], self.name_crashed(ended_at=None))
+
     def test_a_start_on_its_way_may_have_come_too_late(self) -> None:
         self.start(make_start())
         self.assertEqual([("a", None, False)], self.name_crashed())
