--- a/dalemast/core/scheduling/crashes.py
+++ b/dalemast/core/scheduling/crashes.py
@@ -10,10 +10,10 @@
 once three have, however that was. To give up at any second end would answer more bystanders as
 failed, and to start tasks apart or alone after a first one would keep room from all others.
 
-A worker that falls silent, or whose agent does, may have crashed, or be cut off. Such an end counts
-only as unseen, and five ends of either kind are the bound. It counts as seen once another life is
-there in its place, and not at all once that life is back. The end of a worker that had just been
-told to start a task is never more than unseen: the task may have come too late to be its cause.
+A worker that falls silent, or whose agent does, may have crashed, or be cut off, and its tasks may
+have lapsed before. Such an end counts only as unseen, and not at all once that life is back. A task
+that the worker had just been told to start may have come too late to be the cause; for it the end
+is unseen as well. Five ends of any kind are the bound.
 
 What is known of a task is a set of workers' lives, told by their agents to all entries and kept by
 the job's id. What was seen only grows, whoever tells it, how often and in which order, for as long
@@ -51,8 +51,8 @@
     """The end of one life of a worker under a task.
 
     ``age_s`` is how long the task had run, in seconds, or None where nobody saw it. ``is_seen``
-    tells that the worker's process was found gone, or another life in its place, and
-    ``has_begun`` that the task was seen to run there.
+    tells that the worker's process was found gone while its lease went on, and ``has_begun`` that
+    the task was seen to run there.
     """
 
     life: str
@@ -143,18 +143,14 @@
             return True
         return _are_two_alike(crashes)
 
-    def list_unseen(self, life: str) -> list[CrashedTask]:
-        """Return the tasks under which this life may have ended, as ends that were seen by now."""
-        return [
-            CrashedTask(job_id=job_id, task=task, age_s=ends[life].age_s)
-            for job_id, known in self._jobs.items()
-            for task, ends in known.tasks.items()
-            if life in ends and ends[life].has_begun and not ends[life].is_seen
-        ]
-
     def clear_unseen(self, life: str) -> set[str]:
         """Forget that a life may have ended, as it is there; return the jobs that it concerns."""
-        cleared = {(row.job_id, row.task) for row in self.list_unseen(life)}
+        cleared = {
+            (job_id, task)
+            for job_id, known in self._jobs.items()
+            for task, ends in known.tasks.items()
+            if life in ends and not ends[life].is_sure
+        }
         for job_id, task in cleared:
             del self._jobs[job_id].tasks[task][life]
         return {job_id for job_id, _ in cleared}
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -186,19 +186,6 @@
             task.free_at = now + self._limits.lost_run_s
         return self.dispatch(now=now)
 
-    def note_replaced(self, life: str, *, now: float) -> list[Action]:
-        """Note that another life of a worker is there: that one is over, and nobody saw how.
-
-        What ran there may have ended it while its agent was out of reach, or ended with it.
-        """
-        lost = [
-            CrashedTask(job_id=job.request.id, task=task.key, age_s=None)
-            for job, task in self._get_runs_on(life)
-            if task.phase is TaskPhase.LOST
-        ]
-        tasks = [*lost, *self._crashes.list_unseen(life)]
-        return self.note_crash(life, tasks, now=now) if tasks else []
-
     def reconcile(
         self, name: str, listed: Iterable[tuple[str, TaskKey, int]], *, now: float
     ) -> list[Action]:
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -106,6 +106,11 @@
             return True
         return bool(self._runs or self._strays or not self._has_looked)
 
+    @property
+    def lease_s(self) -> float:
+        """How long the worker runs on after its agent's last word, in seconds."""
+        return self._limits.lease_s
+
     @property
     def is_leaving(self) -> bool:
         """Whether the worker has said that it leaves, so that its end is no crash."""
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -29,7 +29,6 @@
     Beat,
     Bye,
     ClockAnswer,
-    Crashed,
     EntriesAsk,
     EntryHello,
     EntryMessage,
@@ -141,17 +140,13 @@
         """Tell all entries what ran on a life of the worker that has crashed, or fallen silent."""
         crashed = make_crashed(worker, tasks, is_seen=is_seen)
         self._crashes.add(crashed)
-        self._tell_crash(crashed)
-
-    def note_worker_there(self, life: str) -> None:
-        """Note that a life of the worker answers; one that had fallen silent before has ended."""
-        for crashed in self._crashes.note_there(life):
-            self._tell_crash(crashed)
-
-    def _tell_crash(self, crashed: Crashed) -> None:
         for session in self._sessions.values():
             session.link.send(crashed)
 
+    def note_worker_there(self, life: str) -> None:
+        """Note that a life of the worker answers, so that it has not ended."""
+        self._crashes.note_there(life)
+
     def report_end(self, report: ReportEnd) -> None:
         """Tell an owner how a run ended."""
         session = self._sessions.get(report.owner)
--- a/dalemast/fleet/agent/worker.py
+++ b/dalemast/fleet/agent/worker.py
@@ -65,6 +65,8 @@
         self._looks = LookSchedule()
         self._refused = 0
         self._looked_at = float("-inf")
+        self._answered_at = float("-inf")
+        """When the last call was made that the worker has answered."""
         self._stops = StopBook()
 
     def set_owners(self, owners: OwnerLinks) -> None:
@@ -191,6 +193,7 @@
             return
         now = clock.monotonic()
         self._looks.note_answer(now=now)
+        self._answered_at = max(self._answered_at, look.asked_at)
         self._refused = 0
         life = self._supervisor.life
         if life is not None:
@@ -245,9 +248,12 @@
         now = clock.monotonic()
         self._metrics.count("workers.crashed" if has_crashed else "workers.gone")
         if runs and not is_planned:
-            # Before the ends of the runs, which let their owners start the tasks anew.
-            tasks = list_crashed(runs, ended_at=now if has_crashed else None)
-            self._owners.report_crash(life.id, tasks, is_seen=has_crashed)
+            # Before the ends of the runs, which let their owners start the tasks anew. Where the
+            # worker has answered nothing for a lease, as this process stood still, they may have
+            # lapsed before.
+            is_seen = has_crashed and now - self._answered_at <= self._supervisor.lease_s
+            tasks = list_crashed(runs, ended_at=now if is_seen else None)
+            self._owners.report_crash(life.id, tasks, is_seen=is_seen)
         log_event(
             "worker:gone",
             worker=life.id,
@@ -278,6 +284,8 @@
         now = clock.monotonic()
         self._metrics.record("start-order", "", now - began)
         self._log_start(request.run_id, outcome, took_s=now - began)
+        if outcome is StartOutcome.RUNNING:
+            self._answered_at = max(self._answered_at, began)
         actions = self._supervisor.take_outcome(
             request.run_id, outcome, now=now, expires_at=self._driver.leased_until
         )
--- a/dalemast/fleet/crashes.py
+++ b/dalemast/fleet/crashes.py
@@ -5,13 +5,11 @@
 from collections import deque
 from collections.abc import Iterable
 
-import msgspec
-
-from dalemast.core.scheduling import CrashedTask
+from dalemast.core.scheduling import CrashedTask, RunPresumedOver
 from dalemast.core.workloads import TaskKey
 from dalemast.fleet.frames import Crashed, CrashedRow
 
-__all__ = ["CrashMemory", "make_crashed", "read_crashed"]
+__all__ = ["CrashMemory", "make_crashed", "make_unseen", "read_crashed"]
 
 MAX_CRASHES = 32
 """Crashes that an agent remembers: a worker that each of its lives loses after three seconds comes
@@ -37,21 +35,10 @@
         self._drop(crashed.worker)
         self._crashes.append(crashed)
 
-    def note_there(self, life: str) -> list[Crashed]:
-        """Note that a life answers: return the others that were silent, which have ended.
-
-        If it was silent itself, it has not.
-        """
-        ended = [
-            msgspec.structs.replace(known, is_seen=True)
-            for known in self._crashes
-            if not known.is_seen and known.worker != life
-        ]
-        for crashed in ended:
-            self.add(crashed)
-        if any(not known.is_seen for known in self._crashes):
+    def note_there(self, life: str) -> None:
+        """Note that a life answers, so that it has not ended if it was silent before."""
+        if any(known.worker == life for known in self._crashes):
             self._drop(life)
-        return ended
 
     def _drop(self, life: str) -> None:
         kept = [known for known in self._crashes if known.worker != life]
@@ -76,6 +63,12 @@
     )
 
 
+def make_unseen(over: RunPresumedOver) -> Crashed:
+    """Return the message on a run that nobody saw end: its worker may have, or its agent."""
+    task = CrashedTask(job_id=over.job_id, task=over.task, age_s=None)
+    return make_crashed(over.worker, [task], is_seen=False)
+
+
 def read_crashed(news: Crashed) -> list[CrashedTask]:
     """Return the tasks that a message names."""
     return [
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -59,9 +59,6 @@
 )
 """Ends with a line of their own. Under load several starts a job find no room; the line at the
 job's end counts them."""
-MAX_LIVES = 4096
-"""Agents whose last worker is remembered: more than an entry has links with, and fewer than the
-hosts that come and go in its life."""
 Apply = Callable[[list[Action]], None]
 
 
@@ -94,8 +91,6 @@
         self._tell_peers = tell_peers
         self._sessions: dict[str, AgentSession] = {}
         self._by_worker: dict[str, AgentSession] = {}
-        self._lives: dict[str, str] = {}
-        """By agent's name, the last life of its worker that was in reach."""
         self._routes: PeerRoutes | None = None
 
     def __len__(self) -> int:
@@ -278,7 +273,6 @@
         )
         session.worker = news.id
         self._by_worker[news.id] = session
-        self._note_replaced(hello.name, news.id)
         self._scheduler.add_worker(view, now=clock.monotonic())
         listed = [(row.job, TaskKey(row.step, row.position), row.run) for row in news.runs]
         log_event(
@@ -291,15 +285,6 @@
         session.link.send(Reconciled(number=news.number))
         self._apply([action for action in actions if not isinstance(action, StopTask)])
 
-    def _note_replaced(self, agent: str, worker: str) -> None:
-        """Let the scheduler know if an agent's worker is another life than the one known before."""
-        before = self._lives.pop(agent, None)
-        self._lives[agent] = worker
-        if len(self._lives) > MAX_LIVES:
-            del self._lives[next(iter(self._lives))]
-        if before is not None and before != worker:
-            self._apply(self._scheduler.note_replaced(before, now=clock.monotonic()))
-
     def _drop_worker(self, session: AgentSession) -> None:
         if not session.worker:
             return
--- a/dalemast/fleet/entry/desk.py
+++ b/dalemast/fleet/entry/desk.py
@@ -79,6 +79,7 @@
     """The open jobs of one entry.
 
     ``check_pause`` finds out whether this process has just stood still, and lets it recover.
+    ``tell_unseen`` lets other entries know of a run that nobody saw end.
     """
 
     def __init__(
@@ -90,7 +91,9 @@
         send: Callable[[list[StartTask], list[StopTask]], None],
         ask: Callable[[AskRoom], None],
         check_pause: Callable[[], bool],
+        tell_unseen: Callable[[RunPresumedOver], None] = lambda action: None,
     ) -> None:
+        self._tell_unseen = tell_unseen
         self._scheduler = scheduler
         self._times = times
         self._metrics = metrics
@@ -363,6 +366,7 @@
         )
 
     def _note_presumed_over(self, action: RunPresumedOver) -> None:
+        self._tell_unseen(action)
         self._metrics.count("runs.presumed-over")
         log_event(
             "run:presumed-over",
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -21,6 +21,7 @@
     Member,
 )
 from dalemast.fleet.book import AddressBook
+from dalemast.fleet.crashes import make_unseen
 from dalemast.fleet.entry.agents import AgentLinks
 from dalemast.fleet.entry.configuration import ConfigurationInForce
 from dalemast.fleet.entry.desk import JobDesk
@@ -78,6 +79,7 @@
             send=lambda starts, stops: self._agents.send(starts, stops),
             ask=lambda asked: self._agents.ask(asked),
             check_pause=self._check_pause,
+            tell_unseen=lambda over: self._peers.tell_crash(make_unseen(over)),
         )
         self._agents = AgentLinks(
             member=self._member,
