--- a/dalemast/platform/lines.py
+++ b/dalemast/platform/lines.py
@@ -5,14 +5,14 @@
 goes on by itself while the line that was believed has fallen silent. So a foreign report costs the
 worker nothing, and one that came first is believed for some reports only.
 
-Its capacity may change. Another one is believed once it is said again, a second or more later, with
-no report in between that goes on with the known one: the worker's own reports contradict what
-another writer says of it.
+Its capacity may change. Another one is believed with the second report that says so, a second
+or more later, with none in between that goes on with the known one: the worker's own reports
+contradict what another writer says of it.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -119,9 +119,13 @@
         return True
 
     def _take_resized(self, account: Account, number: int, now: float) -> None:
-        """Go on if another capacity was said before, or raise :class:`ForeignInput`."""
+        """Go on if another capacity was said before, or raise :class:`ForeignInput`.
+
+        It need not be the same one: a capacity may change with each report.
+        """
+        resized = replace(account, capacity=Resources())
         is_believed, self._rival = count_rival(
-            self._rival, account, number, now=now, needed=RESIZE_REPORTS
+            self._rival, resized, number, now=now, needed=RESIZE_REPORTS
         )
         if not is_believed:
             raise ForeignInput(Fault.OTHER_ACCOUNT, account.describe_change(self._account))
--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -52,6 +52,16 @@
         self.assertFalse(line.is_replaced)
         self.assertTrue(line.take(make_account(1), 4, now=4.5))
 
+    def test_a_capacity_that_changes_with_each_report_is_followed(self) -> None:
+        line = make_line()
+        taken = []
+        for turn in range(1, 7):
+            try:
+                taken.append(line.take(make_account(turn), turn + 1, now=turn * PAUSE_S))
+            except ForeignInput:
+                taken.append(False)
+        self.assertEqual([False, True] * 3, taken)
+
     def test_a_capacity_said_again_at_once_is_not_believed_yet(self) -> None:
         line = make_line()
         for number in (2, 3, 4):
