--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -89,8 +89,7 @@
         self.refused_starts = 0
         self.is_cautious = False
         """Whether several of its tasks may end their workers: those are started one at a time, and
-        the others once none is left. Eight such tasks cost eight workers as they begin together,
-        and one more, not eight."""
+        the others once none is left. Begun together they would cost a worker each once more."""
         self.workers: dict[str, int] = {}
         self.tasks: dict[TaskKey, Task] = {}
         self.run_times: dict[int, list[float]] = {}
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -212,11 +212,18 @@
         return actions + self.dispatch(now=now)
 
     def note_crash(
-        self, life: str, tasks: Iterable[CrashedTask], *, now: float, is_seen: bool = True
+        self,
+        life: str,
+        tasks: Iterable[CrashedTask],
+        *,
+        now: float,
+        is_seen: bool = True,
+        is_hearsay: bool = False,
     ) -> list[Action]:
         """Take in what ran on a crashed worker, whoever's it was and however often it is told.
 
-        What ran there is over. Without ``is_seen`` the worker may be cut off; its lease is over.
+        Without ``is_seen`` the worker may be cut off; its lease is over. By its agent's word what
+        ran there is over; hearsay of another owner may be about a run before this owner's.
         """
         suspects: dict[str, Job] = {}
         for row in tasks:
@@ -225,7 +232,8 @@
             job = self._jobs.get(row.job_id)
             if job is None:
                 continue
-            self._end_crashed(job, row.task, life)
+            if not is_hearsay:
+                self._end_crashed(job, row.task, life)
             if is_news:
                 suspects[row.job_id] = job
         given_up = [action for job in suspects.values() for action in self._judge(job, now)]
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -309,13 +309,21 @@
         own = tuple(row for row in news.tasks if row.job in self._scheduler.open_jobs)
         if own:
             self._tell_peers(Crashed(worker=news.worker, tasks=own, is_seen=news.is_seen))
-        self.take_crash(news)
+        self._take_crash(news, is_hearsay=False)
 
-    def take_crash(self, news: Crashed) -> None:
-        """Take in a crash that an agent or a peer tells of."""
-        now = clock.monotonic()
-        tasks = read_crashed(news)
-        self._apply(self._scheduler.note_crash(news.worker, tasks, now=now, is_seen=news.is_seen))
+    def take_hearsay(self, news: Crashed) -> None:
+        """Take in a crash that a peer tells of."""
+        self._take_crash(news, is_hearsay=True)
+
+    def _take_crash(self, news: Crashed, *, is_hearsay: bool) -> None:
+        actions = self._scheduler.note_crash(
+            news.worker,
+            read_crashed(news),
+            now=clock.monotonic(),
+            is_seen=news.is_seen,
+            is_hearsay=is_hearsay,
+        )
+        self._apply(actions)
 
     def _end_run(self, session: AgentSession, news: RunEnded) -> None:
         row = news.run
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -101,7 +101,7 @@
             times=self._times,
             jobs=self._desk,
             tell_agents=self._agents.tell_members,
-            take_crash=self._agents.take_crash,
+            take_crash=self._agents.take_hearsay,
         )
         self._desk.set_claims(self._peers.claims)
         self._agents.set_routes(self._peers.routes)
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -233,6 +233,15 @@
             self.scheduler.note_crash(life, [row], now=9.0)
         self.assertEqual([], get_starts(self.submit("a")))
 
+    def test_what_another_owner_says_of_its_run_ends_none_of_this_owners(self) -> None:
+        """Its run was there before, on a worker that may be back and have this owner's by now."""
+        self.add_workers(2)
+        (start,) = get_starts(self.submit("a"))
+        row = CrashedTask(job_id="a", task=start.task, age_s=None)
+        told = {"now": 10.1, "is_seen": False, "is_hearsay": True}
+        self.assertEqual([], self.scheduler.note_crash(start.worker, [row], **told))
+        self.assertEqual({start.worker}, self.scheduler.get_busy_workers())
+
     def test_a_crash_of_a_task_that_the_job_does_not_have_changes_nothing(self) -> None:
         self.add_workers(2)
         (start,) = get_starts(self.submit("a"))
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -105,4 +105,6 @@
         ]
         links.take(mock.Mock(), make_crashed("i-1", rows))
         tell_peers.assert_called_once_with(make_crashed("i-1", rows[:1]))
-        scheduler.note_crash.assert_called_once_with("i-1", rows, now=mock.ANY, is_seen=True)
+        scheduler.note_crash.assert_called_once_with(
+            "i-1", rows, now=mock.ANY, is_seen=True, is_hearsay=False
+        )
--- a/tests/histories/__init__.py
+++ b/tests/histories/__init__.py
@@ -13,10 +13,16 @@
 | fleet | puts it together; ``ModelFleet.patch`` has all seams to the product |
 | draw | histories from seeds, and the shrinking of those that break a promise |
 | test_orders | orders of events that have a name; each is played with several small times |
+| test_cut_entries | entries that are cut off from one another |
+| test_crashing_tasks | tasks that end every worker that starts them |
+| test_reborn_workers, test_news | workers that begin anew under their ids, and whose room changes |
+| test_suspended_hosts | hosts whose steady clock does not count a while |
 
 Promises that are checked: at each start no other run of the task is going on any worker; nothing of
 a job starts under a submission that was answered as refused; each task of a job that was answered
-as done has ended well once at least.
+as done has ended well once at least; a task that ends its workers is not started three times more
+after three of them; two workers have ended under a job that is answered as failed; nothing starts
+on a worker beyond room that shrank a while ago.
 
 Not modelled: processor time (a turn takes none), packets between a process and its own worker that
 get lost without their call, stops that a worker refuses, data centres, the store's faults.
