Let only a quorum of entries go on in a network partition

Callers saw a job run twice at once: its entry did not notice that the caller was lost, and the caller asked an entry in the other part of a divided network.

Cause: "no agent in reach hears the lost entry" was taken as "gone", which is true at both ends of a split.

Now a lost entry is a danger only while an agent is missing as well. Then the entries that are linked with most of the known ones go on, in a tie those with the smallest address. They grant ids of the lost ones once those have dropped their jobs and all runs have lapsed, 3.24 s after the loss by the table in docs/decisions/0014-partitions.md. The others drop their jobs, refuse new ones at once as not run, and are not ready. A keeper applies this to its peers' claims as well.

No store calls. Ruled out: asking the store (weighed in 0014), agents' votes (an entry of a large system knows only some agents).

--- a/dalemast/core/ownership/__init__.py
+++ b/dalemast/core/ownership/__init__.py
@@ -3,8 +3,9 @@
 Neither needs a write to the store.
 """
 
-from dalemast.core.ownership.claims import Claims, Granted, Held
+from dalemast.core.ownership.claims import Claims, Granted, Held, Withheld
 from dalemast.core.ownership.link_selection import KnownEntry, LinkBounds, choose_owners
+from dalemast.core.ownership.quorum import has_quorum
 from dalemast.core.ownership.rendezvous import choose_home, rank_entries
 
 __all__ = [
@@ -13,7 +14,9 @@
     "Held",
     "KnownEntry",
     "LinkBounds",
+    "Withheld",
     "choose_home",
     "choose_owners",
+    "has_quorum",
     "rank_entries",
 ]
--- a/dalemast/core/ownership/claims.py
+++ b/dalemast/core/ownership/claims.py
@@ -9,7 +9,7 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ["Claims", "Granted", "Held"]
+__all__ = ["Claims", "Granted", "Held", "Withheld"]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,6 +28,16 @@
     free_at: float | None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Withheld:
+    """The claim can't be decided, as entries beyond a network partition may own the id.
+
+    ``until`` is when it can be decided, by the monotonic clock; None if that is not known.
+    """
+
+    until: float | None
+
+
 class Claims:
     """Claims by job id. Owners are identified by their incarnation.
 
--- a/dalemast/fleet/entry/claims.py
+++ b/dalemast/fleet/entry/claims.py
@@ -17,6 +17,7 @@
     Claims,
     Granted,
     Held,
+    Withheld,
     choose_home,
 )
 from dalemast.fleet.base import Member
@@ -29,7 +30,7 @@
 )
 from dalemast.observability import log_event
 
-__all__ = ["JobClaims", "OwnJobs", "PeerSearch"]
+__all__ = ["JobClaims", "OwnJobs", "Partitions", "PeerSearch"]
 
 CLAIM_TIMEOUT_S = 0.15
 """Timeout of a claim that is sent to the keepers alone. After it, all reachable peers are asked."""
@@ -39,6 +40,8 @@
 STARTUP_GRACE_S = 0.3
 """After its start an entry claims nothing for this long, or until it has received the claims of all
 known entries, which they send in the first message on a link."""
+UNKNOWN_OWNER = "unreachable"
+"""Owner in the refusal of an id that an unreachable entry may own."""
 SUSPECT_S = 60.0
 """How long a peer that was lost without a goodbye may still be running and keeping claims.
 Meanwhile the ids whose home it may be are claimed at all reachable peers. The same time bounds how
@@ -76,6 +79,13 @@
         """Return whether a job has runs left for an owner that is unreachable from their agent."""
 
 
+class Partitions(Protocol):
+    """What may be decided while other entries are unreachable."""
+
+    def find_withheld(self, job_id: str) -> Withheld | None:
+        """Return why a job's id must not be granted now, or None."""
+
+
 class JobClaims:
     """Claims ids at the reachable entries, and decides on the ids whose home this entry is.
 
@@ -85,7 +95,8 @@
     knows of the claim. If the home is uncertain, all reachable peers are keepers.
 
     ``search`` reports whether a peer that was lost or never linked may still be running. While one
-    may, no id that it could own is granted.
+    may, no id that it could own is granted. ``partitions`` withholds the ids that may be owned in
+    another part of a divided network.
 
     ``dialled`` holds the links that carry this entry's claims, by the name of the peer, and
     ``accepted`` those that carry the peers' claims, by their incarnation. The caller keeps both up
@@ -102,6 +113,7 @@
         accepted: Mapping[str, PeerSession],
         has_all_greetings: Callable[[], bool],
         search: PeerSearch | None = None,
+        partitions: Partitions | None = None,
     ) -> None:
         self._member = member
         self._own_jobs = jobs
@@ -112,6 +124,7 @@
         self._accepted = accepted
         self._has_all_greetings = has_all_greetings
         self._search = search
+        self._partitions = partitions
         self._numbers = itertools.count(1)
         self._pending: dict[int, PendingClaim] = {}
         self._claim_recipients: dict[str, set[str]] = {}
@@ -129,8 +142,11 @@
         """Whether a lost peer may still be running, and thus may have granted ids since."""
         return bool(self._list_lost_peers())
 
-    async def claim(self, job_id: str) -> Granted | Held:
+    async def claim(self, job_id: str) -> Granted | Held | Withheld:
         """Claim an id at its keepers, including those that become reachable in the meantime."""
+        withheld = self._find_withheld(job_id)
+        if withheld is not None:
+            return withheld
         if self._is_in_startup_grace():
             return Held(owner="", free_at=self._started_at + STARTUP_GRACE_S)
         granted_by: set[PeerSession] = set()
@@ -149,7 +165,7 @@
         held = self._find_holder(job_id)
         if held is None and self._may_be_held_by_unlinked_peer(job_id, is_uncertain=is_uncertain):
             return Held(owner="", free_at=None)
-        return held or Granted()
+        return held or self._find_withheld(job_id) or Granted()
 
     def release(self, job_id: str) -> None:
         """Release an id of this entry."""
@@ -277,6 +293,9 @@
             return set()
         return {self._dialled[choose_home(job_id, self._dialled)]}
 
+    def _find_withheld(self, job_id: str) -> Withheld | None:
+        return None if self._partitions is None else self._partitions.find_withheld(job_id)
+
     def _may_be_held_by_unlinked_peer(self, job_id: str, *, is_uncertain: bool) -> bool:
         """Return whether an entry without a link may own an id, or keep the claim on it.
 
@@ -347,6 +366,9 @@
         if self._own_jobs.has_open(job_id):
             self._own_jobs.yield_job(job_id)
             return Held(owner=self._member.incarnation, free_at=None)
+        withheld = self._find_withheld(job_id)
+        if withheld is not None:
+            return Held(owner=UNKNOWN_OWNER, free_at=withheld.until)
         result = self._peer_claims.claim(job_id, owner, now=clock.monotonic())
         if isinstance(result, Held):
             self._request_yield(job_id, result.owner)
--- a/dalemast/fleet/entry/job_tracker.py
+++ b/dalemast/fleet/entry/job_tracker.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from dalemast import clock
-from dalemast.core.ownership import Granted, Held
+from dalemast.core.ownership import Granted, Held, Withheld
 from dalemast.core.scheduling import (
     Action,
     Forecast,
@@ -58,7 +58,7 @@
 class ClaimManager(Protocol):
     """Claims and releases job ids."""
 
-    async def claim(self, job_id: str) -> Granted | Held:
+    async def claim(self, job_id: str) -> Granted | Held | Withheld:
         """Claim an id for this entry."""
 
     def release(self, job_id: str) -> None:
@@ -296,7 +296,13 @@
                     continue
                 if isinstance(result, Granted):
                     return None
-                held_by = result.owner
+                if isinstance(result, Withheld):
+                    held_by = ""
+                    refusal = _find_refusal(result, deadline)
+                    if refusal is not None:
+                        return refusal
+                else:
+                    held_by = result.owner
             if clock.monotonic() > deadline or self._open.get(job.request.id) is not job:
                 log_event("job:not-claimed", job=job.request.id, held_by=held_by)
                 if not held_by:
@@ -446,6 +452,16 @@
         self._claims.release(job_id)
 
 
+def _find_refusal(withheld: Withheld, deadline: float) -> JobRejected | None:
+    """Return the refusal of a job if its id can't be granted before the deadline of its claim."""
+    if withheld.until is None:
+        return JobRejected(cause=ISOLATED_CAUSE, retry_after_s=ISOLATED_RETRY_S)
+    if withheld.until <= deadline:
+        return None
+    retry_after_s = withheld.until - clock.monotonic()
+    return JobRejected(cause=UNCONFIRMED_CAUSE, retry_after_s=retry_after_s)
+
+
 def _describe_forecast(forecast: Forecast | None) -> dict[str, float | None]:
     """Return the log fields of a forecast, with None for a start that is not foreseeable."""
     if forecast is None:
--- a/dalemast/fleet/entry/peer_sessions.py
+++ b/dalemast/fleet/entry/peer_sessions.py
@@ -40,6 +40,8 @@
         self.is_relayed = is_relayed
         """Whether an agent relays the frames, as there is no direct connection."""
         self.member: Member | None = None
+        self.peer_started_at = self.opened_at
+        """When the other entry started, on the monotonic clock; not earlier than it did."""
         self.is_ending = False
         self.announced_ids: tuple[str, ...] = ()
         """The claimed ids that this entry announced in its greeting."""
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -20,6 +20,7 @@
 from dalemast.fleet.entry.configuration import ConfigurationInForce
 from dalemast.fleet.entry.configuration_exchange import ConfigurationExchange
 from dalemast.fleet.entry.demand import DemandExchange
+from dalemast.fleet.entry.partitions import PartitionGuard
 from dalemast.fleet.entry.peer_sessions import PeerSession
 from dalemast.fleet.entry.routes import PeerRoutes
 from dalemast.fleet.evacuations import EvacuationsInForce
@@ -49,7 +50,7 @@
 )
 from dalemast.fleet.paths import PEERS_PATH
 from dalemast.fleet.timing import FleetTimes
-from dalemast.observability import log_event
+from dalemast.observability import Metrics, log_event
 
 __all__ = ["PeerLinks"]
 
@@ -81,6 +82,7 @@
         handle_crash: Callable[[WorkerCrashed], None],
         make_crashes: Callable[[], list[WorkerCrashed]],
         demand: DemandExchange,
+        metrics: Metrics,
     ) -> None:
         self._member = member
         self._book = book
@@ -107,6 +109,15 @@
         self._routes = PeerRoutes(
             incarnation=member.incarnation, dialled=self._dialled, receiver=self
         )
+        self._partitions = PartitionGuard(
+            member=member,
+            book=book,
+            dialled=self._dialled,
+            routes=self._routes,
+            times=times,
+            metrics=metrics,
+        )
+        self._started_at = clock.monotonic()
         self._claims = JobClaims(
             member=member,
             jobs=jobs,
@@ -115,6 +126,7 @@
             accepted=self._accepted,
             has_all_greetings=self._has_all_greetings,
             search=self._routes,
+            partitions=self._partitions,
         )
 
     @property
@@ -129,12 +141,21 @@
 
     @property
     def is_isolated(self) -> bool:
-        """Whether no agent has responded for a while although a peer is lost.
+        """Whether other entries may treat this one as gone, and grant its ids after a while.
 
-        The other entries may then treat this one as gone, and grant its ids once its claims have
-        lapsed, after :attr:`FleetTimes.lost_run_s`. This entry drops its jobs in less than half
-        that time, so that no job runs on both sides.
+        So it is if a peer is lost and no agent has responded for a while, or if this entry is in
+        the smaller part of a divided network. It drops its jobs in less than half the time that
+        the others wait, so that no job runs on both sides.
         """
+        return self._reaches_no_agent or self._partitions.is_refusing
+
+    @property
+    def partitions(self) -> PartitionGuard:
+        """The decisions that this entry may make while others are unreachable."""
+        return self._partitions
+
+    @property
+    def _reaches_no_agent(self) -> bool:
         since = self._isolated_since
         return since is not None and clock.monotonic() - since >= self._times.link_timeout_s
 
@@ -169,7 +190,7 @@
     def handle_routes_changed(self) -> None:
         """Let the claims of lost entries lapse once no agent reaches them."""
         for incarnation, member in list(self._lost_owners.items()):
-            if self._routes.is_gone(incarnation):
+            if self._partitions.is_over(member):
                 del self._lost_owners[incarnation]
                 log_event("peer:gone", peer=member.name, incarnation=incarnation)
                 self._claims.record_owner_lost(member)
@@ -247,6 +268,7 @@
     def note_process_pause(self) -> None:
         """Require new greetings after a pause of this process, as peers may have dropped it."""
         self._greeted.clear()
+        self._partitions.restart_waits()
         self._claims.note_process_pause()
 
     def reset_liveness_timers(self, late_s: float) -> None:
@@ -268,8 +290,9 @@
                 log_event("peer:silent", peer=session.member.name if session.member else "")
                 self.end_session(session)
         self._routes.tick(now)
-        self.handle_routes_changed()
         self._update_isolation(now)
+        self._partitions.tick(now, beat_s=beat_s)
+        self.handle_routes_changed()
         self._claims.sweep(now)
         self._configuration_exchange.tick(now)
 
@@ -281,6 +304,8 @@
 
     def _update_isolation(self, now: float) -> None:
         if self._routes.has_agent_response or not self._claims.has_lost_peers:
+            if self._reaches_no_agent:
+                self._partitions.restart_waits()
             self._isolated_since = None
         elif self._isolated_since is None:
             self._isolated_since = now
@@ -296,6 +321,7 @@
         )
         self._configuration_exchange.remove_peer(member.name)
         self._claims.suspect_home(member, is_planned=session.is_ending)
+        self._partitions.record_lost(member, is_planned=session.is_ending)
         self._claims.cancel_pending(session)
         if not session.is_ending:
             self._routes.suspect(member.incarnation)
@@ -374,7 +400,8 @@
         session = PeerSession(link=link, links=self, is_dialled=is_dialled, is_relayed=is_relayed)
         self._sessions.add(session)
         session.announced_ids = tuple(self._jobs.get_claimed_ids())
-        link.send(PeerHello(member=to_row(self._member), jobs=session.announced_ids))
+        age_s = clock.monotonic() - self._started_at
+        link.send(PeerHello(member=to_row(self._member), jobs=session.announced_ids, age_s=age_s))
         self._send_declarations(session)
         return session
 
@@ -392,6 +419,7 @@
     def _greet(self, session: PeerSession, hello: PeerHello) -> None:
         member = to_member(hello.member)
         session.member = member
+        session.peer_started_at = clock.monotonic() - hello.age_s
         self._greeted.add(member.name)
         self.add_members([member])
         session.link.send(MemberUpdate(members=tuple(to_row(m) for m in self._book.members)))
@@ -408,6 +436,7 @@
             self.end_session(session)
             return
         self._dialled[member.name] = session
+        self._partitions.record_linked(member)
         # Changes made since the link was opened were sent to greeted entries only.
         self._send_declarations(session)
         for crashed in self._make_crashes():
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -120,6 +120,7 @@
             handle_crash=self._agents.handle_relayed_reports,
             make_crashes=self._agents.make_relayed_reports,
             demand=self._demand,
+            metrics=self._metrics,
         )
         self._tracker.set_claims(self._peers.claims)
         self._agents.set_routes(self._peers.routes)
@@ -137,7 +138,7 @@
         """Whether this entry should receive new connections."""
         if self.is_draining or self._configuration.current is None:
             return False
-        return self._agents.has_workers
+        return self._agents.has_workers and not self._peers.is_isolated
 
     @property
     def is_draining(self) -> bool:
@@ -236,6 +237,7 @@
             "open_jobs": len(self._tracker),
             "claims": len(self._peers.claims),
             "peers": self._peers.peers,
+            "partition": self._peers.partitions.get_state(),
             "demand": self._demand.get_state(),
             "placement": self._scheduler.placement.describe(),
             "workers": {
--- a/dalemast/fleet/entry/routes.py
+++ b/dalemast/fleet/entry/routes.py
@@ -33,6 +33,9 @@
 
 __all__ = ["PeerRoutes", "RouteReceiver"]
 
+MISSING_S = 60.0
+"""How long an agent that was lost without a goodbye counts as missing, in seconds.
+It may be serving entries that this one can't reach."""
 DIRECT_DIAL_S = 0.3
 """How long to wait for a direct link with a newly reported entry before a route to it is opened.
 While a system starts, agents report most entries before this entry has dialled them."""
@@ -94,6 +97,8 @@
         """Lost incarnations, each with the number of the first request about it."""
         self._unlinked_since: dict[str, float] = {}
         self._routes: dict[tuple[AgentSession, str], Route] = {}
+        self._missing_agents: dict[str, float] = {}
+        """Names of agents that were lost without a goodbye, with the time of the loss."""
         self._numbers = itertools.count(1)
 
     @property
@@ -114,6 +119,16 @@
             return True
         return self._is_awaiting_responses() or bool(self._list_unlinked())
 
+    @property
+    def has_missing_agent(self) -> bool:
+        """Whether an agent that was linked with this entry may be running out of reach."""
+        return bool(self._missing_agents)
+
+    @property
+    def missing_agents(self) -> list[str]:
+        """Names of the agents that were lost without a goodbye."""
+        return sorted(self._missing_agents)
+
     def is_gone(self, incarnation: str) -> bool:
         """Return whether no agent reaches a lost peer, by responses newer than the loss."""
         number = self._suspects.get(incarnation, self._last_request_number)
@@ -134,6 +149,7 @@
 
     def add_agent(self, session: AgentSession) -> None:
         """Send a request to an agent with a new link."""
+        self._missing_agents.pop(session.name, None)
         self._reports[session] = AgentReport(request_number=-1, entries=frozenset())
         self._send_request(session)
 
@@ -141,6 +157,8 @@
         """Remove an agent that is unreachable, with the routes that it relays."""
         if self._reports.pop(session, None) is None:
             return
+        if not session.is_ending:
+            self._missing_agents[session.name] = clock.monotonic()
         for key in [key for key in self._routes if key[0] is session]:
             self._lose_route(key)
         self._receiver.handle_routes_changed()
@@ -190,6 +208,9 @@
     def tick(self, now: float) -> None:
         """Open routes to peers that have no link yet, and drop suspects that are settled."""
         self._open_routes(now=now)
+        self._missing_agents = {
+            name: at for name, at in self._missing_agents.items() if now - at < MISSING_S
+        }
         linked = self._get_linked()
         for incarnation in [
             suspect for suspect in self._suspects if suspect in linked or self.is_gone(suspect)
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -339,11 +339,13 @@
 class PeerHello(Message, frozen=True, tag="P"):
     """An entry's first message to another entry.
 
-    ``jobs`` lists the sender's claims whose home the other entry may be.
+    ``jobs`` lists the sender's claims whose home the other entry may be. ``age_s`` is the time in
+    seconds since the sender started.
     """
 
     member: MemberRow
     jobs: tuple[str, ...]
+    age_s: float = 0.0
 
 
 class ConfigurationUpdate(Message, frozen=True, tag="c"):
--- a/tests/histories/__main__.py
+++ b/tests/histories/__main__.py
@@ -21,6 +21,7 @@
     draw_load_history,
     draw_preemption_history,
     draw_restart_history,
+    draw_split_history,
     draw_suspended_history,
     play,
     shrink,
@@ -72,6 +73,7 @@
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--processes", type=int, default=1)
     parser.add_argument("--cuts", action="store_true", help="network cuts between entries")
+    parser.add_argument("--splits", action="store_true", help="a network divided in two")
     parser.add_argument("--suspended", action="store_true", help="suspended hosts")
     parser.add_argument("--news", action="store_true", help="workers that restart or are resized")
     parser.add_argument("--preemption", action="store_true", help="urgent jobs that preempt others")
@@ -81,6 +83,8 @@
     parser.add_argument("--most", type=int, default=20, help="number of histories shown in full")
     arguments = parser.parse_args()
     draw: Draw = draw_cut_history if arguments.cuts else draw_history
+    if arguments.splits:
+        draw = draw_split_history
     if arguments.suspended:
         draw = draw_suspended_history
     if arguments.news:
--- a/tests/histories/draw.py
+++ b/tests/histories/draw.py
@@ -32,6 +32,7 @@
     "draw_load_history",
     "draw_restart_history",
     "draw_preemption_history",
+    "draw_split_history",
     "draw_suspended_history",
     "play",
     "shrink",
@@ -66,6 +67,14 @@
 AGENTS = ("agent-0", "agent-1")
 LONG_RUN_S = 9.0
 """Run time that is longer than every cut."""
+SPLIT_DURATION_S = 12.0
+"""Duration of a history with a divided network: longer than the division and a run after it."""
+SPLIT_BEGINS_WITHIN_S = 0.5
+"""Maximum time between the first and the last cut that divide the network."""
+SPLIT_S = (1.0, 7.0)
+"""Range of the durations of the cuts that divide the network."""
+ONE_WAY_SHARE = 0.3
+"""Share of these cuts that are one-way."""
 STOPS_LOST_SHARE = 0.3
 """Share of the histories with cuts between entries in which stops are lost."""
 NOTICED_SHARE = 0.25
@@ -169,6 +178,92 @@
     )
 
 
+def draw_split_history(seed: int) -> History:
+    """Return a history in which cuts divide entries and agents into two groups.
+
+    Callers are lost without their entries noticing, and resubmit to any entry. Processes are
+    frozen, suspended or killed, and some start again within the division.
+    """
+    rng = random.Random(f"split {seed}")
+    entries = [f"entry-{number}" for number in range(rng.choice((2, 2, 3, 3, 4)))]
+    agents = [f"agent-{number}" for number in range(rng.choice((2, 2, 3)))]
+    at_s = rng.uniform(-0.2, 1.0)
+    faults: list[Fault] = list(_draw_split(rng, entries, agents, at_s=at_s))
+    for _ in range(rng.choice((0, 0, 0, 1, 1, 2))):
+        faults.append(_draw_split_process_fault(rng, [*entries, *agents], split_at_s=at_s))
+    if rng.random() < STOPS_LOST_SHARE:
+        worker = f"worker-{rng.randrange(len(agents))}"
+        effect, max_calls = CallEffect.LOST, rng.choice((1, 2, 1000))
+        faults.append(
+            CallFault(
+                worker=worker, kind="stop", effect=effect, at_s=0.0, for_s=8.0, max_calls=max_calls
+            )
+        )
+    jobs = tuple(
+        JobPlan(
+            at_s=0.0 if number == 0 else rng.uniform(-0.2, 4.0),
+            run_s=tuple(rng.choice((2.0, LONG_RUN_S)) for _ in range(rng.randint(1, 2))),
+            entry=rng.randrange(len(entries)),
+        )
+        for number in range(rng.choice((1, 2, 4)))
+    )
+    for number, job in enumerate(jobs):
+        for _ in range(rng.choice((1, 1, 2))):
+            hang_up_at_s = job.at_s + rng.choice((rng.uniform(0.02, 1.0), rng.uniform(0.5, 5.0)))
+            is_noticed = rng.random() < NOTICED_SHARE
+            faults.append(HangUp(job=number, at_s=hang_up_at_s, is_noticed=is_noticed))
+    return History(
+        seed=seed,
+        jobs=jobs,
+        faults=tuple(faults),
+        entries=len(entries),
+        clock_rates=tuple(rng.choice((1.0, SLOW_RATE)) for _ in agents),
+        duration_s=SPLIT_DURATION_S,
+    )
+
+
+def _draw_split(
+    rng: random.Random, entries: list[str], agents: list[str], *, at_s: float
+) -> Iterator[Cut]:
+    """Draw cuts between all members of two groups of hosts. Each group has an entry."""
+    sides = {name: rng.randrange(2) for name in [*entries, *agents]}
+    first, second = rng.sample(entries, 2)
+    sides[first], sides[second] = 0, 1
+    if rng.random() < 0.7:
+        sides[agents[0]], sides[agents[1]] = rng.sample((0, 1), 2)
+    for_s = rng.uniform(*SPLIT_S)
+    for one in entries:
+        for other in [*entries, *agents]:
+            is_pair_listed = other in entries and one >= other
+            if is_pair_listed or sides[one] == sides[other]:
+                continue
+            sender, receiver = rng.sample((one, other), 2)
+            yield Cut(
+                sender=sender,
+                receiver=receiver,
+                at_s=at_s + rng.uniform(0.0, SPLIT_BEGINS_WITHIN_S),
+                for_s=for_s + rng.uniform(0.0, 0.5),
+                is_both_ways=rng.random() >= ONE_WAY_SHARE,
+            )
+
+
+def _draw_split_process_fault(
+    rng: random.Random, processes: list[str], *, split_at_s: float
+) -> Fault:
+    process, at_s = rng.choice(processes), split_at_s + rng.uniform(-0.6, 4.0)
+    match rng.choice(("freeze", "suspend", "kill", "start")):
+        case "freeze":
+            return Freeze(process=process, at_s=at_s, for_s=rng.uniform(0.1, 3.0))
+        case "suspend":
+            return Suspend(process=process, at_s=at_s, for_s=rng.choice(SUSPENDED_S))
+        case "kill":
+            return Kill(process=process, at_s=at_s, for_s=rng.uniform(0.05, 2.0))
+        case _:
+            # The process is down at the beginning, and starts once the network is divided.
+            down_s = split_at_s + 0.9 + rng.uniform(0.0, 3.0)
+            return Kill(process=process, at_s=-0.9, for_s=down_s)
+
+
 def draw_suspended_history(seed: int) -> History:
     """Return a drawn history in which the freezes of processes are suspensions of their hosts.
 
