--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -344,12 +344,14 @@
     """An entry's first message to another entry.
 
     ``jobs`` lists the sender's claims whose home the other entry may be. ``age_s`` is the time in
-    seconds since the sender started.
+    seconds since the sender started. ``agents`` names the agents that it reaches; it is empty if
+    they are linked with some of the entries only.
     """
 
     member: MemberRow
     jobs: tuple[str, ...]
     age_s: float = 0.0
+    agents: tuple[str, ...] = ()
 
 
 class ConfigurationUpdate(Message, frozen=True, tag="c"):
