Count each run of a task once one of its ends was not seen

Once a task has an end that was not seen, an owner announces its further starts to its peers, which count each as an end (withdrawn if it was not executed), and counts the runs that it stops itself. Reports carry when the worker last answered, and only ends from before that are taken back.

Six unit tests failed before, as they use what is new. Tasks whose crashes are all observed are handled as before, frame by frame.

--- a/dalemast/core/scheduling/actions.py
+++ b/dalemast/core/scheduling/actions.py
@@ -91,6 +91,7 @@
 class StartTask:
     """Start a task on a worker. ``number`` counts the owner's starts.
 
+    ``has_hidden_end`` tells that the task may have crashed a worker without anybody observing it.
     ``restart_slack_s`` is for how many seconds from now the task can still be restarted with its
     job on time; None if it must not be preempted.
     """
@@ -102,6 +103,7 @@
     expected_s: float
     number: int
     restart_slack_s: float | None = None
+    has_hidden_end: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -118,7 +120,7 @@
 class RunPresumedOver:
     """Report that an unreachable run is presumed over without a confirmation.
 
-    ``lost_s`` is how long it was unreachable, in seconds.
+    ``lost_s`` is how long it was unreachable, in seconds. ``is_lasting`` is as in ``Crash``.
     """
 
     worker: str
@@ -126,6 +128,7 @@
     task: TaskKey
     run: int
     lost_s: float
+    is_lasting: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dalemast/core/scheduling/crashes.py
+++ b/dalemast/core/scheduling/crashes.py
@@ -15,10 +15,14 @@
 Agents report the ends of incarnations to all entries, which keep them by job id. Reports may arrive
 repeatedly and in any order. A confirmed crash is kept while the job is open and for a while after,
 so that the count does not restart when the owner is lost or the caller submits the job again.
+
+Where ends are not observed, the peers of an owner count a further start as an unconfirmed end from
+the beginning: if the owner and the agent are both lost, nobody could tell them of a crash.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field, replace
 from itertools import pairwise
@@ -49,19 +53,28 @@
 
     ``age_s`` is how long the task had run, in seconds, or None if that is unknown. ``is_observed``
     means that the worker process was found to have ended within its lease, ``has_begun`` that the
-    task is known to have started there.
+    task is known to have started there. ``is_lasting`` marks the start of a suspect: it counts as
+    an unconfirmed end whatever the worker reports later, since it may crash the worker unnoticed.
     """
 
     incarnation: str
     age_s: float | None
     is_observed: bool = True
     has_begun: bool = True
+    is_lasting: bool = False
+    recorded_at: float = field(default=float("-inf"), compare=False)
+    """When the end was first recorded here."""
 
     @property
     def is_confirmed(self) -> bool:
         """Whether the worker is known to have crashed while the task ran."""
         return self.is_observed and self.has_begun
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether a later answer of the worker shows that it has not ended."""
+        return not self.is_confirmed and not self.is_lasting
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CrashedTask:
@@ -107,11 +120,13 @@
             (c for c in self.get(job_id, task) if c.incarnation == crash.incarnation), None
         )
         if before is not None and (before.is_confirmed or not crash.is_confirmed):
+            if crash.is_lasting and not before.is_confirmed:
+                self._jobs[job_id].tasks[task][crash.incarnation] = replace(before, is_lasting=True)
             return False
         known = self._jobs.pop(job_id, None) or JobCrashes(recorded_at=now)
         known.recorded_at = now
-        known.tasks.setdefault(task, {})[crash.incarnation] = crash
-        if not crash.is_confirmed:
+        known.tasks.setdefault(task, {})[crash.incarnation] = replace(crash, recorded_at=now)
+        if crash.is_doubtful:
             self._unconfirmed_incarnations.add(crash.incarnation)
         self._jobs[job_id] = known
         self._evict_ended()
@@ -126,6 +141,10 @@
         """Return whether a worker has crashed while a task ran, or may have."""
         return bool(self.get(job_id, task))
 
+    def has_unconfirmed(self, job_id: str, task: TaskKey) -> bool:
+        """Return whether a worker may have crashed unnoticed while a task ran."""
+        return any(not crash.is_confirmed for crash in self.get(job_id, task))
+
     def is_job_suspect(self, job_id: str) -> bool:
         """Return whether several tasks of a job may crash their workers.
 
@@ -166,17 +185,30 @@
                     rows.setdefault(replace(crash, age_s=None, has_begun=True), []).append(row)
         return rows
 
-    def clear_unconfirmed(self, incarnation: str) -> set[str]:
-        """Drop the unconfirmed ends of an incarnation that responds; return the affected jobs."""
+    def withdraw(self, job_id: str, task: TaskKey, incarnation: str) -> None:
+        """Drop the unconfirmed end of a start that was not executed."""
+        known = self._jobs.get(job_id)
+        crash = None if known is None else known.tasks.get(task, {}).get(incarnation)
+        if known is not None and crash is not None and not crash.is_confirmed:
+            del known.tasks[task][incarnation]
+
+    def clear_unconfirmed(self, incarnation: str, *, answered_at: float = math.inf) -> set[str]:
+        """Drop the unconfirmed ends of an incarnation that has answered since; return their jobs.
+
+        ``answered_at`` is the earliest time at which it can have given its last answer. It may have
+        ended between that and a later report of its agent, which then has not noticed it yet.
+        """
         if incarnation not in self._unconfirmed_incarnations:
             return set()
-        self._unconfirmed_incarnations.discard(incarnation)
-        cleared = {
-            (job_id, task)
+        doubtful = {
+            (job_id, task): crashes[incarnation]
             for job_id, known in self._jobs.items()
             for task, crashes in known.tasks.items()
-            if incarnation in crashes and not crashes[incarnation].is_confirmed
+            if incarnation in crashes and crashes[incarnation].is_doubtful
         }
+        cleared = {key for key, crash in doubtful.items() if crash.recorded_at <= answered_at}
+        if len(cleared) == len(doubtful):
+            self._unconfirmed_incarnations.discard(incarnation)
         for job_id, task in cleared:
             del self._jobs[job_id].tasks[task][incarnation]
         return {job_id for job_id, _ in cleared}
--- a/dalemast/core/scheduling/jobs.py
+++ b/dalemast/core/scheduling/jobs.py
@@ -59,6 +59,8 @@
         self.avoided: set[str] = set()
         self.is_suspect = False
         """Whether workers have ended under it, or may have."""
+        self.has_hidden_end = False
+        """Whether a worker may have ended under it without anybody observing it."""
         self.free_at = 0.0
         """When a lost run has surely ended."""
         self.has_given_way = False
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -227,6 +227,18 @@
         job = self._jobs.pop(job_id, None)
         return [] if job is None else self._stop_runs(job)
 
+    def drop(self, job_id: str, *, now: float) -> list[Action]:
+        """Remove a job whose caller may submit it again, and stop its runs.
+
+        Runs of tasks with hidden ends are recorded as further ones. Otherwise a task that is
+        dropped before each crash could be started without a limit.
+        """
+        job = self._jobs.get(job_id)
+        runs = [] if job is None else [t for t in job.tasks.values() if t.phase in ON_WORKER]
+        suspects = [task for task in runs if task.has_hidden_end]
+        presumed = self._record_unobserved(job_id, suspects, now, is_lasting=True)
+        return [*self.cancel(job_id), *presumed]
+
     def abandon(self, job_id: str, *, now: float) -> list[Action]:
         """Remove a job that this owner can no longer track, and stop its runs.
 
@@ -236,15 +248,7 @@
         """
         job = self._jobs.get(job_id)
         runs = [] if job is None else [t for t in job.tasks.values() if t.phase in ON_WORKER]
-        presumed = [
-            RunPresumedOver(
-                worker=task.worker, job_id=job_id, task=task.key, run=task.run, lost_s=0.0
-            )
-            for task in runs
-        ]
-        for over in presumed:
-            crash = Crash(incarnation=over.worker, age_s=None, is_observed=False)
-            self._crashes.record(job_id, over.task, crash, now=now)
+        presumed = self._record_unobserved(job_id, runs, now)
         return [*self.cancel(job_id), *presumed]
 
     def add_worker(self, view: WorkerView, *, now: float) -> None:
@@ -280,7 +284,7 @@
             return []
         view.update(report, now=now)
         # A peer may have reported the worker as lost when only its own link had failed.
-        self._clear_unobserved(name)
+        self._clear_unobserved(name, now - report.answered_ago_s)
         if report.pace >= SLOW_PACE * (view.baseline_slowness or 1.0):
             # The pace covers the runs of all owners, so this owner learns of a slow worker before
             # its own tasks are late there.
@@ -354,13 +358,19 @@
         return self.dispatch(now=now)
 
     def reconcile(
-        self, name: str, listed: Iterable[tuple[str, TaskKey, int]], *, now: float
+        self,
+        name: str,
+        listed: Iterable[tuple[str, TaskKey, int]],
+        *,
+        now: float,
+        answered_at: float | None = None,
     ) -> list[Action]:
         """Compare this owner's runs with those that an agent lists after its link is restored.
 
         A run that the agent does not list has ended. A listed run that is not expected is stopped.
+        ``answered_at`` is when the worker last answered its agent, or None if that is now.
         """
-        self._clear_unobserved(name)
+        self._clear_unobserved(name, now if answered_at is None else answered_at)
         listed_runs = set(listed)
         actions: list[Action] = []
         wanted: set[tuple[str, TaskKey, int]] = set()
@@ -387,6 +397,7 @@
         now: float,
         is_observed: bool = True,
         is_relayed: bool = False,
+        is_lasting: bool = False,
     ) -> list[Action]:
         """Record the tasks that ran on a crashed worker, of any owner; repeats change nothing.
 
@@ -401,6 +412,7 @@
                 age_s=row.age_s,
                 is_observed=is_observed,
                 has_begun=row.has_begun,
+                is_lasting=is_lasting,
             )
             is_new = self._crashes.record(row.job_id, row.task, crash, now=now)
             job = self._jobs.get(row.job_id)
@@ -413,6 +425,26 @@
         given_up = [action for job in suspects.values() for action in self._check_crashes(job, now)]
         return [*given_up, *self.dispatch(now=now)]
 
+    def is_suspect(self, job_id: str, task: TaskKey) -> bool:
+        """Return whether workers have crashed, or may have, while running a task."""
+        return self._crashes.is_suspect(job_id, task)
+
+    def has_hidden_end(self, job_id: str, task: TaskKey) -> bool:
+        """Return whether a worker may have crashed unnoticed while running a task."""
+        return self._crashes.has_unconfirmed(job_id, task)
+
+    def has_crashed(self, job_id: str, task: TaskKey, incarnation: str) -> bool:
+        """Return whether a worker has crashed, or may have, while running a task."""
+        crashes = self._crashes.get(job_id, task)
+        return any(crash.incarnation == incarnation for crash in crashes)
+
+    def withdraw_crash(self, incarnation: str, tasks: Iterable[CrashedTask]) -> None:
+        """Discard the unobserved crash of tasks that a peer could not start on a worker."""
+        for row in tasks:
+            self._crashes.withdraw(row.job_id, row.task, incarnation)
+            if row.job_id in self._jobs:
+                self._update_suspects(self._jobs[row.job_id])
+
     def list_crashes(self) -> dict[Crash, list[CrashedTask]]:
         """Return the recent worker crashes with the tasks that were running."""
         return self._crashes.list_latest()
@@ -442,6 +474,9 @@
             return self._handle_success(job, task, run_s, now)
         if reason is EndReason.FAILED:
             return self._handle_failure(job, task, now)
+        given_up = self._record_stopped(job, task, reason, now)
+        if given_up:
+            return [*given_up, *self.dispatch(now=now)]
         self._handle_unfinished(job, task, reason)
         return self.dispatch(now=now)
 
@@ -558,6 +593,16 @@
         cause = f"task {task.key.step}.{task.key.position} failed {task.failures} times"
         return [*actions, self._finish(job, JobState.FAILED, cause, now)]
 
+    def _record_stopped(self, job: Job, task: Task, reason: EndReason, now: float) -> list[Action]:
+        """Count a stopped run of a task with hidden ends as another one.
+
+        Otherwise the task could be started without a limit by being moved before each crash.
+        """
+        if reason in NEVER_STARTED or not task.has_hidden_end:
+            return []
+        self._record_unobserved(job.request.id, [task], now, is_lasting=True)
+        return self._check_crashes(job, now)
+
     def _handle_unfinished(self, job: Job, task: Task, reason: EndReason) -> None:
         view = self._workers.get(task.worker)
         if reason in NEVER_STARTED:
@@ -603,16 +648,40 @@
         stops = self._stop_runs(job)
         return [given_up, *stops, self._finish(job, JobState.FAILED, cause, now)]
 
-    def _clear_unobserved(self, incarnation: str) -> None:
-        """Discard unobserved crashes of an incarnation that turns out to be running."""
-        for job_id in self._crashes.clear_unconfirmed(incarnation) & self._jobs.keys():
+    def _clear_unobserved(self, incarnation: str, answered_at: float) -> None:
+        """Discard unobserved crashes of an incarnation that has answered since."""
+        cleared = self._crashes.clear_unconfirmed(incarnation, answered_at=answered_at)
+        for job_id in cleared & self._jobs.keys():
             self._update_suspects(self._jobs[job_id])
 
+    def _record_unobserved(
+        self, job_id: str, tasks: Iterable[Task], now: float, *, is_lasting: bool = False
+    ) -> list[RunPresumedOver]:
+        """Record the runs of tasks whose outcome will not be reported as unobserved crashes."""
+        presumed = [
+            RunPresumedOver(
+                worker=task.worker,
+                job_id=job_id,
+                task=task.key,
+                run=task.run,
+                lost_s=0.0,
+                is_lasting=is_lasting,
+            )
+            for task in tasks
+        ]
+        for over in presumed:
+            crash = Crash(
+                incarnation=over.worker, age_s=None, is_observed=False, is_lasting=is_lasting
+            )
+            self._crashes.record(job_id, over.task, crash, now=now)
+        return presumed
+
     def _update_suspects(self, job: Job) -> None:
         job_id = job.request.id
         job.is_cautious = self._crashes.is_job_suspect(job_id)
         for key, task in job.tasks.items():
             task.is_suspect = self._crashes.is_suspect(job_id, key)
+            task.has_hidden_end = self._crashes.has_unconfirmed(job_id, key)
 
     def _presume_over(self, job: Job, task: Task, now: float) -> RunPresumedOver:
         """Requeue the task of a lost run, and record an unobserved crash of its worker."""
--- a/dalemast/core/scheduling/workers.py
+++ b/dalemast/core/scheduling/workers.py
@@ -40,13 +40,15 @@
     ``seen`` is the number of this owner's last start that ``free`` accounts for. ``is_accepting``
     is false while the worker is leaving or its agent suspects it. ``pace`` is a lower bound on the
     slowness of the worker, estimated from the jobs that are running there, or 0 if there are too
-    few of them.
+    few of them. ``answered_ago_s`` is how long ago the agent sent the last call that the worker
+    has answered, in seconds.
     """
 
     seen: int
     free: Resources
     is_accepting: bool
     pace: float = 0.0
+    answered_ago_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -106,6 +106,12 @@
         self._departures = DepartureWatch()
         self._has_polled = False
         self._has_settled = False
+        self._answered_at = float("-inf")
+
+    @property
+    def answered_at(self) -> float:
+        """When the last poll was sent that the current incarnation has answered."""
+        return self._answered_at
 
     @property
     def incarnation(self) -> WorkerIncarnation | None:
@@ -432,6 +438,7 @@
         """Apply the worker's lists of runs from the answer to a poll sent at ``asked_at``."""
         could_start = self.is_settled and not self._acceptance.is_unresponsive
         self._acceptance.is_unresponsive = False
+        self._answered_at = max(self._answered_at, asked_at)
         self._incarnations.confirm(asked_at=asked_at)
         actions: list[Action] = []
         for end in ended:
@@ -604,6 +611,7 @@
         self._orphaned_runs.clear()
         self._has_polled = False
         self._has_settled = False
+        self._answered_at = float("-inf")
         self._acceptance.is_unresponsive = False
         return [ReportCapacity()]
 
--- a/dalemast/fleet/agent/reports.py
+++ b/dalemast/fleet/agent/reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from dalemast import clock
@@ -29,6 +30,8 @@
 
 __all__ = ["WorkerReports", "make_departure", "to_capacity_request", "to_row"]
 
+MAX_ANSWER_AGE_S = 3600.0
+"""Reported age of a worker's last answer, in seconds, if there was none or it is older."""
 STAYS = -1.0
 """Value in messages for a worker that is not stopping."""
 
@@ -208,9 +211,14 @@
                 gpu=free.gpu,
                 is_accepting=self._supervisor.is_accepting(now=now),
                 pace=round(self._supervisor.get_pace(), 1),
+                answered_ago_s=self._get_answered_ago_s(now),
             )
         )
 
+    def _get_answered_ago_s(self, now: float) -> float:
+        """Return the age of the worker's last answer in seconds, rounded up."""
+        return math.ceil(min(now - self._supervisor.answered_at, MAX_ANSWER_AGE_S) * 10) / 10
+
     def _send_releases(self, session: OwnerSession, now: float) -> None:
         """Send expected releases to an entry that lacks capacity; no rows withdraw earlier ones."""
         is_content = session.subscriber.is_satisfied
@@ -257,6 +265,7 @@
             labels=tuple(sorted(incarnation.labels)),
             runs=tuple(to_row(run_id) for run_id in runs),
             number=number,
+            answered_ago_s=self._get_answered_ago_s(clock.monotonic()),
         )
         session.link.send(report)
         left_s = self._supervisor.get_remaining_s(now=clock.monotonic())
--- a/dalemast/fleet/crashes.py
+++ b/dalemast/fleet/crashes.py
@@ -46,12 +46,17 @@
 
 
 def make_worker_crashed(
-    worker: str, tasks: Iterable[CrashedTask], *, is_observed: bool = True
+    worker: str,
+    tasks: Iterable[CrashedTask],
+    *,
+    is_observed: bool = True,
+    is_lasting: bool = False,
 ) -> WorkerCrashed:
     """Return the message about a crash."""
     return WorkerCrashed(
         worker=worker,
         is_observed=is_observed,
+        is_lasting=is_lasting,
         tasks=tuple(
             CrashedRow(
                 job=row.job_id,
@@ -68,7 +73,7 @@
 def make_presumed_crashed(over: RunPresumedOver) -> WorkerCrashed:
     """Return the message about a run whose end was not observed: its worker may have crashed."""
     task = CrashedTask(job_id=over.job_id, task=over.task, age_s=None)
-    return make_worker_crashed(over.worker, [task], is_observed=False)
+    return make_worker_crashed(over.worker, [task], is_observed=False, is_lasting=over.is_lasting)
 
 
 def read_crashed_tasks(crashed: WorkerCrashed) -> list[CrashedTask]:
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -5,12 +5,15 @@
 import math
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from dalemast import clock
 from dalemast.core.evacuations import Evacuations
 from dalemast.core.scheduling import (
     Action,
     CapacityRelease,
     CapacityReport,
+    CrashedTask,
     DepartureRisk,
     EndReason,
     RequestCapacity,
@@ -78,6 +81,8 @@
 )
 """End reasons with a log line of their own. Refused starts are frequent under load, and are counted
 in the log line at the end of the job instead."""
+NOT_EXECUTED = frozenset({EndReason.NO_ROOM, EndReason.NOT_TAKEN})
+"""End reasons of starts that no worker has executed."""
 Apply = Callable[[list[Action]], None]
 
 
@@ -320,7 +325,10 @@
             cpu=message.cpu,
             runs=len(listed_runs),
         )
-        actions = self._scheduler.reconcile(message.id, listed_runs, now=clock.monotonic())
+        now = clock.monotonic()
+        actions = self._scheduler.reconcile(
+            message.id, listed_runs, now=now, answered_at=now - message.answered_ago_s
+        )
         # Sent between the stops and the starts: until then the agent refuses starts, since one that
         # was in flight while it listed its runs is missing in the list and counts as ended here.
         self._apply([action for action in actions if isinstance(action, StopTask)])
@@ -342,6 +350,7 @@
             free=Resources(cpu=message.cpu, memory_mb=message.memory_mb, gpu=message.gpu),
             is_accepting=message.is_accepting,
             pace=message.pace,
+            answered_ago_s=message.answered_ago_s,
         )
         now = clock.monotonic()
         self._apply(self._scheduler.update_worker(session.worker, report, now=now))
@@ -395,17 +404,39 @@
         """Return the known crashes, to be sent to a new peer."""
         crashes = self._scheduler.list_crashes().items()
         return [
-            make_worker_crashed(end.incarnation, rows, is_observed=end.is_observed)
+            make_worker_crashed(
+                end.incarnation, rows, is_observed=end.is_observed, is_lasting=end.is_lasting
+            )
             for end, rows in crashes
         ]
 
+    def _withdraw_start(self, message: RunEnded, worker: str) -> None:
+        """Withdraw at the peers an announced start that was not executed."""
+        row = message.run
+        key = TaskKey(row.step, row.position)
+        if message.reason not in NOT_EXECUTED:
+            return
+        if not self._scheduler.has_hidden_end(row.job, key):
+            # Its start was not announced.
+            return
+        if self._scheduler.has_crashed(row.job, key, worker):
+            # An earlier start of the task there was executed.
+            return
+        task = CrashedTask(job_id=row.job, task=key, age_s=None)
+        withdrawn = make_worker_crashed(worker, [task], is_observed=False)
+        self._notify_peers(msgspec.structs.replace(withdrawn, is_withdrawn=True))
+
     def _record_crash(self, message: WorkerCrashed, *, is_relayed: bool) -> None:
+        if message.is_withdrawn:
+            self._scheduler.withdraw_crash(message.worker, read_crashed_tasks(message))
+            return
         actions = self._scheduler.note_crash(
             message.worker,
             read_crashed_tasks(message),
             now=clock.monotonic(),
             is_observed=message.is_observed,
             is_relayed=is_relayed,
+            is_lasting=message.is_lasting,
         )
         self._apply(actions)
 
@@ -423,6 +454,7 @@
                 run_s=round(message.run_s, 3),
             )
         self._record_run_end(message, session.worker)
+        self._withdraw_start(message, session.worker)
         actions = self._scheduler.end_run(
             session.worker,
             row.job,
--- a/dalemast/fleet/entry/job_tracker.py
+++ b/dalemast/fleet/entry/job_tracker.py
@@ -89,7 +89,7 @@
 
     ``check_pause`` detects a pause of this process, starts the recovery from it, and returns
     whether there was one. ``report_unobserved_end`` reports to other entries a run that is
-    presumed over although no agent observed its end.
+    presumed over although no agent observed its end, or a run that may end like that.
     """
 
     def __init__(
@@ -188,6 +188,7 @@
             # The recovery from the pause has dropped some of their jobs.
             starts = [start for start in starts if start.job.id in self._open]
         stops = [action for action in actions if isinstance(action, StopTask)]
+        self._announce_starts(starts)
         self._send(starts, stops)
         self._unfinished_runs.extend(stops, now=clock.monotonic())
         for action in actions:
@@ -318,7 +319,7 @@
         job = self._open.pop(job_id, None)
         if job is None:
             return
-        actions = [*actions, *self._scheduler.cancel(job_id)]
+        actions = [*actions, *self._scheduler.drop(job_id, now=clock.monotonic())]
         stops = [action for action in actions if isinstance(action, StopTask)]
         self._send([], stops)
         for action in actions:
@@ -410,6 +411,21 @@
             is_seen=[crash.is_observed for crash in action.crashes],
         )
 
+    def _announce_starts(self, starts: Iterable[StartTask]) -> None:
+        """Report starts of tasks with hidden ends to other entries before they begin."""
+        for start in starts:
+            if start.has_hidden_end:
+                self._report_unobserved_end(
+                    RunPresumedOver(
+                        worker=start.worker,
+                        job_id=start.job.id,
+                        task=start.task,
+                        run=start.run,
+                        lost_s=0.0,
+                        is_lasting=True,
+                    )
+                )
+
     def _record_presumed_over(self, action: RunPresumedOver) -> None:
         self._report_unobserved_end(action)
         self._metrics.count("runs.presumed-over")
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -230,7 +230,8 @@
     """The current worker incarnation; an empty ``id`` means that there is none.
 
     ``runs`` lists the runs of this owner on the worker; runs that are not listed have ended.
-    ``number`` counts these reports on a link.
+    ``number`` counts these reports on a link. ``answered_ago_s`` is how long ago the agent sent the
+    last call that the worker has answered, in seconds.
     """
 
     id: str
@@ -241,12 +242,14 @@
     labels: tuple[str, ...]
     runs: tuple[RunRow, ...] = ()
     number: int = 0
+    answered_ago_s: float = 0.0
 
 
 class CapacityReport(Message, frozen=True, tag="R"):
     """The free capacity of the worker, as in the scheduler's ``CapacityReport``.
 
-    ``seen`` is the number of the last start from this owner that is included.
+    ``seen`` is the number of the last start from this owner that is included. ``answered_ago_s``
+    is how long ago the agent sent the last call that the worker has answered, in seconds.
     """
 
     seen: int
@@ -255,6 +258,7 @@
     gpu: int
     is_accepting: bool
     pace: float = 0.0
+    answered_ago_s: float = 0.0
 
 
 class CapacityReleaseRow(Message, frozen=True):
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import testtools
 from hypothesis import (
     given,
@@ -176,7 +178,16 @@
     return sum(crash.is_observed for crash in records.get("open", TASK))
 
 
-class CrashHandlingTests(SchedulerTestCase):
+class CrashTestCase(SchedulerTestCase):
+    def submit(self, job_id: str, count: int = 1, now: float = 10.0) -> list[Action]:
+        return self.scheduler.submit(make_job(job_id, make_step(count)), now=now)
+
+    def add_workers(self, count: int, *, cpu: int = 4000) -> None:
+        for number in range(count):
+            self.add_worker(f"w{number}", cpu=cpu)
+
+
+class CrashHandlingTests(CrashTestCase):
     """How the scheduler handles the jobs of a crashed worker."""
 
     def crash(self, start: StartTask, *, age_s: float | None = 0.03) -> list[Action]:
@@ -185,13 +196,6 @@
         actions = self.scheduler.note_crash(start.worker, [row], now=10.1)
         return [*actions, *self.scheduler.lose_worker(start.worker, now=10.1)]
 
-    def submit(self, job_id: str, count: int = 1, now: float = 10.0) -> list[Action]:
-        return self.scheduler.submit(make_job(job_id, make_step(count)), now=now)
-
-    def add_workers(self, count: int, *, cpu: int = 4000) -> None:
-        for number in range(count):
-            self.add_worker(f"w{number}", cpu=cpu)
-
     def test_a_task_is_restarted_at_once_and_given_up_after_the_second_crash(self) -> None:
         self.add_workers(4)
         (first,) = get_starts(self.submit("a"))
@@ -375,3 +379,96 @@
         (rows,) = self.scheduler.list_crashes().values()
         self.assertEqual(MAX_REPORTED_JOBS, len(rows))
         self.assertEqual(f"job {2 * MAX_REPORTED_JOBS - 1}", rows[-1].job_id)
+
+
+class LostKnowledgeTests(CrashTestCase):
+    """Crashes that nobody observes count all the same, so that the starts stay bounded."""
+
+    def crash_unobserved(self, start: StartTask, *, now: float) -> StartTask:
+        """Lose the worker of a start, and return the next start of its task."""
+        self.scheduler.lose_worker(start.worker, now=now)
+        (again,) = get_starts(self.scheduler.tick(now=now + LOST_RUN_S))
+        return again
+
+    def test_a_run_after_a_hidden_end_that_is_dropped_with_its_job_counts(self) -> None:
+        """A caller that hangs up before each crash must not keep the count from rising."""
+        self.add_workers(2 * MAX_ENDS)
+        (start,) = get_starts(self.submit("a"))
+        start = self.crash_unobserved(start, now=10.0)
+        starts = 2
+        for number in range(2 * MAX_ENDS):
+            now = 20.0 + number
+            dropped = self.scheduler.drop("a", now=now)
+            self.assertEqual(1, len([a for a in dropped if isinstance(a, RunPresumedOver)]))
+            self.scheduler.lose_worker(start.worker, now=now)
+            again = get_starts(self.submit("a", now=now + 0.5))
+            if not again:
+                break
+            (start,) = again
+            starts += 1
+        self.assertLessEqual(starts, MAX_ENDS)
+
+    def test_a_run_after_a_hidden_end_that_is_stopped_counts(self) -> None:
+        """A move off a slow worker must not keep the count from rising."""
+        self.add_workers(4 * MAX_ENDS)
+        (start,) = get_starts(self.submit("a"))
+        start = self.crash_unobserved(start, now=10.0)
+        starts = 2
+        for number in range(2 * MAX_ENDS):
+            again = get_starts(self.end(start, EndReason.STOPPED, now=20.0 + number))
+            if not again:
+                break
+            (start,) = again
+            starts += 1
+        self.assertLessEqual(starts, MAX_ENDS)
+
+    def test_a_run_of_an_innocent_task_that_is_dropped_does_not_count(self) -> None:
+        self.add_workers(2)
+        self.submit("a")
+        dropped = self.scheduler.drop("a", now=10.1)
+        self.assertEqual([], [a for a in dropped if isinstance(a, RunPresumedOver)])
+        self.assertEqual(1, len(get_stops(dropped)))
+
+    def test_an_end_is_kept_if_the_worker_has_not_answered_since(self) -> None:
+        """Its agent was paused, and reports the worker without having noticed its end."""
+        self.add_workers(2)
+        (start,) = get_starts(self.submit("a"))
+        self.crash_unobserved(start, now=10.0)
+        now = 10.0 + LOST_RUN_S + 0.5
+        with mock.patch.object(self.scheduler, "update_worker"):
+            self.add_worker(start.worker, now=now)
+        for answered_ago_s, is_kept in ((1.0, True), (0.1, False)):
+            report = CapacityReport(
+                seen=0,
+                free=Resources(cpu=4000, memory_mb=1000),
+                is_accepting=True,
+                answered_ago_s=answered_ago_s,
+            )
+            answered_at = now - answered_ago_s
+            self.scheduler.reconcile(start.worker, [], now=now, answered_at=answered_at)
+            self.scheduler.update_worker(start.worker, report, now=now)
+            has_crashed = self.scheduler.has_crashed("a", TASK, start.worker)
+            self.assertEqual(is_kept, has_crashed)
+
+    def test_a_start_after_a_hidden_end_is_marked(self) -> None:
+        self.add_workers(2)
+        (start,) = get_starts(self.submit("a"))
+        self.assertFalse(start.has_hidden_end)
+        self.assertTrue(self.crash_unobserved(start, now=10.0).has_hidden_end)
+
+    def test_an_announced_start_that_was_not_executed_is_withdrawn(self) -> None:
+        announced = CrashedTask(job_id="a", task=TASK, age_s=None)
+        self.add_workers(1)
+        self.scheduler.note_crash(
+            "w1", [announced], now=10.0, is_observed=False, is_relayed=True, is_lasting=True
+        )
+        self.scheduler.reconcile("w1", [], now=11.0)
+        self.assertTrue(self.scheduler.is_suspect("a", TASK), "the run may crash the worker yet")
+        self.scheduler.withdraw_crash("w1", [announced])
+        self.assertFalse(self.scheduler.is_suspect("a", TASK))
+
+    def test_an_observed_crash_is_not_withdrawn(self) -> None:
+        crashed = CrashedTask(job_id="a", task=TASK, age_s=0.1)
+        self.scheduler.note_crash("w1", [crashed], now=10.0)
+        self.scheduler.withdraw_crash("w1", [crashed])
+        self.assertTrue(self.scheduler.is_suspect("a", TASK))
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -116,5 +116,5 @@
         links.handle_message(mock.Mock(), make_worker_crashed("i-1", rows))
         notify_peers.assert_called_once_with(make_worker_crashed("i-1", rows[:1]))
         scheduler.note_crash.assert_called_once_with(
-            "i-1", rows, now=mock.ANY, is_observed=True, is_relayed=False
+            "i-1", rows, now=mock.ANY, is_observed=True, is_relayed=False, is_lasting=False
         )
