Count a local fleet as ready once clocks are compared

Two tests of old and future frames failed once each on busy machines. They put frames into an agent's session that has not compared its clock with the entry's yet. Callers can't meet the gap: an entry answers the request for its clock on the same link before it can send a start. The tests and their checks are unchanged.

--- a/dalemast/fleet/agent/owner_sessions.py
+++ b/dalemast/fleet/agent/owner_sessions.py
@@ -86,6 +86,11 @@
             return float("-inf")
         return self._sent_ms / 1000 + self._lead.get(now=clock.monotonic())
 
+    @property
+    def is_clock_known(self) -> bool:
+        """Whether the entry has answered a request for its clock."""
+        return self._lead.is_known
+
     def probe(self, *, now: float) -> None:
         """Check that the entry responds, since another entry suspects it."""
         if self._probed_at < self.link.received_at:
--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -159,10 +159,20 @@
         return (
             all(state["configuration"] is not None for state in states)
             and all(len(state["peers"]) == len(self.entries) - 1 for state in states)  # type: ignore[arg-type]
+            and self._have_clocks()
             and self._do_accept([worker for workers in seen for worker in workers.values()])  # type: ignore[attr-defined]
             and self._are_linked([len(workers) for workers in seen])  # type: ignore[arg-type]
         )
 
+    def _have_clocks(self) -> bool:
+        """Return whether each agent has compared its clock with those of its entries.
+
+        An entry answers the request for its clock before it sends a start on the same link, so no
+        start of an entry can come earlier.
+        """
+        sessions = [s for agent in self.agents for s in agent._owners._sessions.values()]
+        return all(session.is_clock_known for session in sessions)
+
     def _do_accept(self, workers: list[dict[str, Any]]) -> bool:
         """Return whether all workers accept starts, except in evacuated data centres."""
         evacuated = {key.removeprefix("evacuate/") for key in self._documents}
