Give the only try of a start in a test the time to be answered

Cause: worker and driver share an event loop, and the three tries of 0.27 s in all are over before the worker gets its turn. That is right for a worker that does not answer, and not what this test is about. Its check is unchanged.

--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -34,6 +34,8 @@
 from tests.fleet.base import find_address, make_text
 
 LEASE_S = 0.6
+UNHURRIED_S = (10.0,)
+"""Timeout of the only try of a start, in seconds, for tests that need its answer."""
 SLACK_S = 10.0
 """Time for the response to a poll beyond its wait, in seconds. Long, since the worker and the
 driver share an event loop, which may stall on a busy host."""
@@ -139,7 +141,13 @@
 
         self.play(scenario)
 
+    @mock.patch("dalemast.platform.worker.START_TIMEOUTS_S", UNHURRIED_S)
     def test_another_incarnation_at_the_address_is_detected(self) -> None:
+        """A start that another incarnation refuses must not count as possibly executed.
+
+        The timeouts are for workers that do not answer; on a busy host this loop is later.
+        """
+
         async def scenario(worker: EmulatedWorker, driver: PlatformWorkerDriver) -> None:
             driver.register(make_incarnation("i-gone"))
             self.assertIs(
