Reserve the ports of a cluster of processes while its roles are down

A test failed once as a killed agent could not bind its port again ("Address already in use"). Cause: the cluster closed its probing sockets at once, so that a port was free while its role was down, and anybody who asks for a free port could get it. Bound sockets with SO_REUSEADDR now hold them; listeners can bind them all the same.

--- a/dalemast/bench/cluster.py
+++ b/dalemast/bench/cluster.py
@@ -13,7 +13,6 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -109,16 +108,19 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def _get_free_ports(count: int) -> Iterator[int]:
+def reserve_ports(count: int) -> list[socket.socket]:
+    """Return bound sockets that reserve their ports for listeners until they are closed.
+
+    A listener can bind such a port again and again, as it sets SO_REUSEADDR too. The kernel does
+    not assign it to an outgoing connection while a role that is restarted is down.
+    """
     sockets = []
     for _ in range(count):
         one = socket.socket()
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         one.bind(("127.0.0.1", 0))
         sockets.append(one)
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return iter(ports)
+    return sockets
 
 
 class Cluster:
@@ -128,7 +130,8 @@
         self.shape = shape
         self.client = JsonClient()
         self._directory = tempfile.TemporaryDirectory(prefix="dalemast-bench-")
-        self._ports = _get_free_ports(1 + 3 * shape.workers + 2 * shape.entries)
+        self._reserved = reserve_ports(1 + 3 * shape.workers + 2 * shape.entries)
+        self._ports = iter([one.getsockname()[1] for one in self._reserved])
         self._environment = {KEY_VARIABLE: secrets.token_hex(16)}
         self.platform_address = self._next_address()
         self.sample_addresses = [self._next_address() for _ in range(shape.workers)]
@@ -179,6 +182,8 @@
             role.signal(signal.SIGKILL)
         for role in self.roles:
             role.wait(5.0)
+        for one in self._reserved:
+            one.close()
         self._directory.cleanup()
 
     def get_endpoint_name(self, number: int) -> str:
