Name the home of an id in the answer to a claim, and missing agents in greetings

Cause: an entry that has lost the home of an id asks all others, and those granted it though they reach the home, which alone knows the claim. A keeper names a third home in its answer now; an entry that can't reach that home gets nothing.

--- a/dalemast/fleet/entry/claims.py
+++ b/dalemast/fleet/entry/claims.py
@@ -160,7 +160,13 @@
             unanswered = {session for session, response in responses.items() if response is None}
             if is_uncertain and unanswered & set(self._dialled.values()):
                 return Held(owner="", free_at=None)
+            homes = {response.home for response in responses.values() if response} - {""}
+            if self._search is not None and homes - {self._member.name, *self._dialled}:
+                # A peer can reach the home of the id, and this entry can't.
+                log_event("claim:home-out-of-reach", job=job_id, homes=sorted(homes))
+                return Held(owner="", free_at=None)
             is_uncertain = is_uncertain or not all(map(_is_granted, responses.values()))
+            is_uncertain = is_uncertain or bool(homes)
             granted_by |= missing - unanswered
         held = self._find_holder(job_id)
         if held is None and self._may_be_held_by_unlinked_peer(job_id, is_uncertain=is_uncertain):
@@ -183,7 +189,8 @@
             return
         result = self._grant(claim.job, session.member.incarnation)
         if isinstance(result, Granted):
-            session.link.send(ClaimResponse(number=claim.number, is_granted=True))
+            home = self._find_third_home(claim.job, session.member.name)
+            session.link.send(ClaimResponse(number=claim.number, is_granted=True, home=home))
             return
         lapses_in_s = -1.0 if result.free_at is None else result.free_at - clock.monotonic()
         session.link.send(
@@ -296,6 +303,11 @@
     def _find_withheld(self, job_id: str) -> Withheld | None:
         return None if self._partitions is None else self._partitions.find_withheld(job_id)
 
+    def _find_third_home(self, job_id: str, claimant: str) -> str:
+        """Return the name of an id's home if that is neither this entry nor the claimant."""
+        home = choose_home(job_id, {self._member.name, claimant, *self._dialled})
+        return "" if home in (self._member.name, claimant) else home
+
     def _may_be_held_by_unlinked_peer(self, job_id: str, *, is_uncertain: bool) -> bool:
         """Return whether an entry without a link may own an id, or keep the claim on it.
 
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -405,7 +405,7 @@
             member=to_row(self._member),
             jobs=session.announced_ids,
             age_s=age_s,
-            agents=tuple(self._routes.agents) if self._partitions.knows_all_agents else (),
+            agents=self._routes.known_agents if self._partitions.knows_all_agents else (),
         )
         link.send(hello)
         self._send_declarations(session)
--- a/dalemast/fleet/entry/routes.py
+++ b/dalemast/fleet/entry/routes.py
@@ -131,13 +131,13 @@
         return sorted(self._missing_agents)
 
     @property
-    def agents(self) -> list[str]:
-        """Names of the reachable agents."""
-        return sorted(session.name for session in self._reports)
+    def known_agents(self) -> tuple[str, ...]:
+        """Names of the reachable agents and of those that are missing."""
+        return tuple(sorted(self._get_reachable_agents().union(self._missing_agents)))
 
     def add_known_agents(self, names: Iterable[str]) -> None:
-        """Count agents as missing that a peer reaches, until they are linked here, too."""
-        for name in set(names).difference(self.agents):
+        """Count agents as missing that a peer knows, until they are linked here, too."""
+        for name in set(names) - self._get_reachable_agents():
             self._missing_agents.setdefault(name, clock.monotonic())
 
     def is_gone(self, incarnation: str) -> bool:
@@ -228,6 +228,9 @@
         ]:
             del self._suspects[incarnation]
 
+    def _get_reachable_agents(self) -> set[str]:
+        return {session.name for session in self._reports}
+
     def _send_request(self, session: AgentSession) -> None:
         request = ReachableEntriesRequest(
             number=self._last_request_number, suspects=tuple(self._suspects)
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -348,8 +348,8 @@
     """An entry's first message to another entry.
 
     ``jobs`` lists the sender's claims whose home the other entry may be. ``age_s`` is the time in
-    seconds since the sender started. ``agents`` names the agents that it reaches; it is empty if
-    they are linked with some of the entries only.
+    seconds since the sender started. ``agents`` names the agents that it reaches or misses; it is
+    empty if agents are linked with some of the entries only.
     """
 
     member: MemberRow
@@ -410,13 +410,15 @@
     """Answers :class:`Claim`.
 
     If the claim is not granted, ``holder`` is the entry that holds it and ``lapses_in_s`` the time
-    until it expires, negative if unknown.
+    until it expires, negative if unknown. ``home`` is the name of the id's home if that is neither
+    the sender nor the receiver: the sender can reach it, and does not know all claims on the id.
     """
 
     number: int
     is_granted: bool
     holder: str = ""
     lapses_in_s: float = -1.0
+    home: str = ""
 
 
 class Release(Message, frozen=True, tag="r"):
--- a/tests/histories/test_splits.py
+++ b/tests/histories/test_splits.py
@@ -13,7 +13,7 @@
 SPLITS = 160
 STARTS_WITHIN = (20147, 21653, 21685, 22179, 22209, 23567)
 """Seeds in which an entry that started within the split granted ids before it had found out."""
-UNKNOWN_AGENT = (23402,)
+UNKNOWN_AGENT = (23402, 50736)
 """Seeds in which such an entry took a lost entry as gone since it did not know of an agent."""
 SPLIT_S = 8.0
 SPLIT_AT_S = -0.5
