--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -31,10 +31,12 @@
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Mark the tests of KNOWN-RED.txt as expected failures: they run, but do not fail the run."""
-    known = read_known_red()
+    issues: dict[str, list[str]] = {}
+    for known in read_known_red():
+        issues.setdefault(known.test, []).append(known.issue)
     for item in items:
-        if item.nodeid in known:
-            reason = f"KNOWN-RED, issue {known[item.nodeid].issue}"
+        if item.nodeid in issues:
+            reason = f"KNOWN-RED, issue {', '.join(issues[item.nodeid])}"
             item.add_marker(pytest.mark.xfail(reason=reason, strict=False))
 
 
@@ -45,6 +47,6 @@
         for name, known_as in (("failed", "xfailed"), ("passed", "xpassed"))
         for report in terminalreporter.stats.get(known_as, [])
     }
-    for known in read_known_red().values():
+    for known in read_known_red():
         outcome = outcomes.get(known.test, "not run")
         terminalreporter.write_line(f"KNOWN-RED {outcome}: {known.test}: {known.cause}")
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -17,13 +17,16 @@
     issue: str
 
 
-def read_known_red(file: Path = FILE) -> dict[str, KnownRed]:
-    """Return the entries by test id; raise :class:`ValueError` for a line without three parts."""
-    found: dict[str, KnownRed] = {}
+def read_known_red(file: Path = FILE) -> list[KnownRed]:
+    """Return the entries; raise :class:`ValueError` for a line without three parts.
+
+    A test that may fail because of several faults has an entry for each of them.
+    """
+    found: list[KnownRed] = []
     lines = file.read_text().splitlines() if file.exists() else []
     for line in lines:
         if not line.strip() or line.startswith("#"):
             continue
         test, cause, issue = (part.strip() for part in line.split("|"))
-        found[test] = KnownRed(test=test, cause=cause, issue=issue)
+        found.append(KnownRed(test=test, cause=cause, issue=issue))
     return found
