Test that a held start never reaches the worker's next incarnation

The users' entry names as cause of too many starts that a start which was tried again reached the next life of its worker, so that two ends counted as one. The order is made certain here: the first copy of a start is held by a proxy (on its way, with its answer, with the end of its connection, delayed or discarded), the worker restarts under its id within the first try, and the further copies go out on connections that were open already (none, one, four) and on fresh ones, whose first poll is slow or not. 28 orders, none executed by the next incarnation.

Why it can't: a connection ends with its incarnation, and each begins with a poll that tells its birth.

--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import random
 from collections.abc import Callable
 from types import SimpleNamespace
 from unittest import mock
@@ -32,6 +33,7 @@
 from dalemast.platform.wire import EXPECTED_INCARNATION_HEADER, StartCall
 from tests.base import AsyncTestCase
 from tests.fleet.base import find_address, make_text
+from tests.soak.proxy import Proxy
 
 LEASE_S = 0.6
 UNHURRIED_S = (10.0,)
@@ -310,6 +312,89 @@
         self.play(scenario)
 
 
+class HeldStartTests(AsyncTestCase):
+    """A start that a device on the path holds must not reach the worker's next incarnation.
+
+    It can't, as a connection ends with its incarnation, and each new one begins with a poll.
+    """
+
+    TRY_S = 0.4
+    """Timeout of each try, in seconds: long enough for the worker to restart in the first one."""
+
+    def play(self, fault: Callable[[Proxy], None], *, connections: int, poll_delay_s: float) -> int:
+        """Start a run whose first copy is held while its worker restarts under its id.
+
+        ``connections`` are open already when the fault begins, and ``poll_delay_s`` is the delay of
+        all data once it is over. Return the number of copies that the next incarnation executed.
+        """
+
+        async def run() -> int:
+            worker = EmulatedWorker(
+                address="127.0.0.1:0",
+                report_to=find_address(),
+                service="floor",
+                zone="austin",
+                cpu=8000,
+                keeps_id=True,
+            )
+            worker.start()
+            proxy = Proxy(target=worker.address)
+            await proxy.start()
+            settings = SimpleNamespace(worker=SimpleNamespace(address=proxy.address))
+            driver = PlatformWorkerDriver(settings=settings, lease_s=30.0)
+            driver.register(make_incarnation(worker.life_id))
+            try:
+                await driver.poll(plan(wait_s=0.0, renews=True), limit=get_unlimited())
+                warm_up = [
+                    driver.start(make_request(job_id=f"{n:016x}"), get_limit=get_unlimited)
+                    for n in range(connections)
+                ]
+                await asyncio.gather(*warm_up)
+                fault(proxy)
+                request = make_request(run=7, run_s=5.0)
+                order = asyncio.create_task(driver.start(request, get_limit=get_unlimited))
+                await asyncio.sleep(self.TRY_S / 4)
+                await worker.crash()
+                worker.start()
+                before = len(worker.started)
+                proxy.heal()
+                proxy.delay_s = poll_delay_s
+                outcome = await order
+                await asyncio.sleep(self.TRY_S / 4)
+                self.assertIn(outcome, (StartOutcome.UNANSWERED, StartOutcome.NOT_LISTENING))
+                return len(worker.started) - before
+            finally:
+                await worker.crash()
+                await proxy.close()
+
+        timeouts = (self.TRY_S,) * 3
+        with mock.patch("dalemast.platform.worker.START_TIMEOUTS_S", timeouts):
+            return self.run_async(run())
+
+    def check(
+        self, fault: Callable[[Proxy], None], *, open_connections: tuple[int, ...] = (0, 1, 4)
+    ) -> None:
+        for connections in open_connections:
+            for poll_delay_s in (0.0, 0.1):
+                executed = self.play(fault, connections=connections, poll_delay_s=poll_delay_s)
+                self.assertEqual(0, executed)
+
+    def test_held_on_its_way_to_the_worker(self) -> None:
+        self.check(lambda proxy: proxy.silence("up"))
+
+    def test_held_with_its_answer(self) -> None:
+        self.check(lambda proxy: proxy.silence("up", "down"))
+
+    def test_held_with_the_end_of_its_connection(self) -> None:
+        self.check(lambda proxy: proxy.cut_some(1.0, random.Random(0)))
+
+    def test_delayed(self) -> None:
+        self.check(lambda proxy: setattr(proxy, "delay_s", 0.3))
+
+    def test_discarded(self) -> None:
+        self.check(lambda proxy: proxy.discard_open(), open_connections=(1, 4))
+
+
 class NotListeningTests(AsyncTestCase):
     def test_a_start_without_a_listening_worker_has_not_run(self) -> None:
         settings = SimpleNamespace(worker=SimpleNamespace(address=find_address()))
