Draw histories with tasks that crash their workers unnoticed

The soak hides crashes by proxies, and needs luck to lose an owner and an agent at the right moments. In virtual time it can be drawn: at a crash nothing passes between the worker and its agent for the downtime and up to 1 s longer, and a connection into a cut hangs where it was refused before, which told the agent of the crash. Entries and agents are killed alone or together, frozen or cut off, and callers hang up.

--- a/tests/histories/__main__.py
+++ b/tests/histories/__main__.py
@@ -15,6 +15,7 @@
 
 from tests.histories.base import CallFault, Freeze, History, Kill, Outcome
 from tests.histories.draw import (
+    draw_crash_history,
     draw_cut_history,
     draw_departure_history,
     draw_history,
@@ -79,6 +80,7 @@
     parser.add_argument("--preemption", action="store_true", help="urgent jobs that preempt others")
     parser.add_argument("--departures", action="store_true", help="workers that leave with notice")
     parser.add_argument("--load", action="store_true", help="all decisions under load together")
+    parser.add_argument("--crashes", action="store_true", help="tasks that crash workers unnoticed")
     parser.add_argument("--as-drawn", action="store_true", help="do not shrink failing histories")
     parser.add_argument("--most", type=int, default=20, help="number of histories shown in full")
     arguments = parser.parse_args()
@@ -95,6 +97,8 @@
         draw = draw_departure_history
     if arguments.load:
         draw = draw_load_history
+    if arguments.crashes:
+        draw = draw_crash_history
     began = time.perf_counter()
     seeds = range(arguments.first, arguments.first + arguments.seeds)
     with multiprocessing.Pool(arguments.processes) as pool:
--- a/tests/histories/base.py
+++ b/tests/histories/base.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 __all__ = [
+    "MAX_HIDDEN_S",
     "CallEffect",
     "CallFault",
     "Cut",
@@ -26,6 +27,9 @@
     "Suspend",
 ]
 
+MAX_HIDDEN_S = 1.0
+"""Maximum time for which a hidden crash cuts a worker off after its restart."""
+
 
 class CallEffect(enum.Enum):
     """A faulty outcome of a call to a worker, as the platform permits."""
@@ -191,6 +195,9 @@
     incarnations; its counters and its clock restart with each of them."""
     crash_downtime_s: float = 2.5
     """Downtime of a worker that has been crashed by a task or has left."""
+    hidden_crash_share: float = 0.0
+    """Share of the crashes by tasks that the agent does not notice: nothing passes between it and
+    the worker until the worker is back, and up to :data:`MAX_HIDDEN_S` longer."""
     preempts: bool = False
     """Whether urgent jobs preempt others, with the bounds on lost work nearly disabled."""
     plans_departures: bool = False
--- a/tests/histories/draw.py
+++ b/tests/histories/draw.py
@@ -26,6 +26,7 @@
 from tests.histories.fleet import ModelFleet
 
 __all__ = [
+    "draw_crash_history",
     "draw_cut_history",
     "draw_departure_history",
     "draw_history",
@@ -91,6 +92,14 @@
 """How long a worker stays after its notice has run out."""
 WITHDRAWN_SHARE = 0.15
 CRASHING_SHARE = 0.4
+CRASH_S = (0.01, 0.1, 0.4)
+"""Times from the start of a crashing task to the crash of its worker."""
+CRASH_DOWNTIME_S = (0.5, 1.2, 2.5)
+CRASH_WORKERS = 6
+SOUND_JOBS = 8
+"""Number of jobs beside the crashing ones in a history with hidden crashes."""
+CRASH_FAULTS_WITHIN_S = 9.0
+CRASH_DURATION_S = 14.0
 LONG_AT_S = 0.3
 """Arrival of the long jobs that fill the workers in a history with preemption."""
 SECOND_LONG_JOB = 2
@@ -361,6 +370,83 @@
     )
 
 
+def draw_crash_history(seed: int) -> History:
+    """Return a history with tasks that crash their workers, mostly unnoticed by the agents.
+
+    Owners and agents are killed, alone or together, frozen or cut off, and callers hang up. The
+    crashing jobs come first.
+    """
+    rng = random.Random(f"hidden crashes {seed}")
+    entries = [f"entry-{number}" for number in range(rng.choice((2, 3)))]
+    agents = [f"agent-{number}" for number in range(CRASH_WORKERS)]
+    crashing = [
+        JobPlan(
+            at_s=rng.uniform(0.0, 0.5),
+            run_s=(1.0,) * tasks,
+            crash_s=(rng.choice(CRASH_S),) * tasks,
+            entry=rng.randrange(len(entries)),
+        )
+        for tasks in [rng.randint(1, 3) for _ in range(rng.choice((1, 1, 2)))]
+    ]
+    sound = [
+        JobPlan(
+            at_s=rng.uniform(0.0, 6.0),
+            run_s=(rng.choice((0.3, 1.5)),) * rng.randint(1, 4),
+            entry=rng.randrange(len(entries)),
+        )
+        for _ in range(SOUND_JOBS)
+    ]
+    faults: list[Fault] = []
+    for _ in range(rng.randint(0, 8)):
+        faults += _draw_crash_faults(rng, entries, agents, jobs=len(crashing))
+    return History(
+        seed=seed,
+        jobs=(*crashing, *sound),
+        faults=tuple(faults),
+        entries=len(entries),
+        clock_rates=(1.0,) * CRASH_WORKERS,
+        duration_s=CRASH_DURATION_S,
+        keeps_ids=rng.random() < 0.5,
+        crash_downtime_s=rng.choice(CRASH_DOWNTIME_S),
+        hidden_crash_share=rng.choice((1.0, 1.0, 0.6)),
+    )
+
+
+def _draw_crash_faults(
+    rng: random.Random, entries: list[str], agents: list[str], *, jobs: int
+) -> list[Fault]:
+    """Draw a fault that may hide crashes from their owner, or two processes killed together."""
+    at_s = rng.uniform(0.0, CRASH_FAULTS_WITHIN_S)
+    entry, agent = rng.choice(entries), rng.choice(agents)
+    process, for_s = rng.choice((entry, agent)), rng.uniform(0.1, 2.5)
+    match rng.choice(("kill", "kill", "kill both", "freeze", "cut", "hang up", "hang up")):
+        case "kill":
+            return [Kill(process=process, at_s=at_s, for_s=for_s)]
+        case "kill both":
+            later_s = at_s + rng.uniform(0.0, 1.0)
+            return [
+                Kill(process=entry, at_s=at_s, for_s=for_s),
+                Kill(process=agent, at_s=later_s, for_s=rng.uniform(0.1, 2.5)),
+            ]
+        case "freeze":
+            return [Freeze(process=process, at_s=at_s, for_s=for_s)]
+        case "cut":
+            sender, receiver = rng.sample((entry, agent), 2)
+            is_both_ways = rng.random() < 0.7
+            return [
+                Cut(
+                    sender=sender,
+                    receiver=receiver,
+                    at_s=at_s,
+                    for_s=for_s,
+                    is_both_ways=is_both_ways,
+                )
+            ]
+        case _:
+            job, is_noticed = rng.randrange(jobs), rng.random() < 0.6
+            return [HangUp(job=job, at_s=at_s, is_noticed=is_noticed)]
+
+
 def _move_to_stops(fault: Fault, rng: random.Random) -> Fault:
     """Return a copy of a fault that occurs around the time when runs are stopped."""
     return replace(fault, at_s=LONG_AT_S + rng.uniform(0.0, 1.5))
--- a/tests/histories/fleet.py
+++ b/tests/histories/fleet.py
@@ -39,6 +39,7 @@
 from dalemast.settings.fleet import BackendSettings, LoadSettings
 from tests.histories.backends import QUEUES, ModelRegistration
 from tests.histories.base import (
+    MAX_HIDDEN_S,
     CallFault,
     Cut,
     Drop,
@@ -413,7 +414,17 @@
         self._outcome.crashes += 1
         for crashing in set(worker.get_active()) & self._crashing:
             self._crashes[crashing] += 1
-        self._end_worker(worker, for_s=self._history.crash_downtime_s)
+        downtime_s = self._history.crash_downtime_s
+        if self._rng.random() < self._history.hidden_crash_share:
+            self._hide(worker, for_s=downtime_s + self._rng.uniform(0.0, MAX_HIDDEN_S))
+        self._end_worker(worker, for_s=downtime_s)
+
+    def _hide(self, worker: ModelWorker, *, for_s: float) -> None:
+        """Let nothing pass between a worker and its agent, as a proxy that stays connected."""
+        agent = worker.name.replace("worker", "agent")
+        until = self._timeline.now + for_s
+        self._network.cut(worker.name, agent, until=until)
+        self._network.cut(agent, worker.name, until=until)
 
     def _end_worker(self, worker: ModelWorker, *, for_s: float) -> None:
         self._ends.update(worker.get_active().keys())
--- a/tests/histories/network.py
+++ b/tests/histories/network.py
@@ -122,12 +122,13 @@
         listener = self._listeners.get(address)
 
         def arrive() -> None:
-            if listener is None or not listener[0].is_up:
-                host.deliver(lambda: _fail(opened))
+            # A cut also drops the refusal of a host without a listener.
+            if listener is not None and not self._is_open(host.name, listener[0].name):
                 return
-            if not self._is_open(host.name, listener[0].name):
+            if listener is not None and not self._is_open(listener[0].name, host.name):
                 return
-            if not self._is_open(listener[0].name, host.name):
+            if listener is None or not listener[0].is_up:
+                host.deliver(lambda: _fail(opened))
                 return
             end = self._make_pair(host, listener[0])
             listener[1](end.peer)
