Count no start that the worker ignored as a run that may have crashed it

After its owner was lost, the next one numbers its runs from 1 again. A worker that has received that number ignores the start. The agent reported it as stopped, and each of these, once a task had an end that was not seen, counted as another one of five.

The agent could not tell such a start from one whose earlier, unanswered try had been executed.

The driver knows which it was: it reports `run-used` for a first try, and `run-received` where an earlier try may have arrived. The first kind ends as RUN_USED, which schedulers already treat as never started, unless a poll lists its end. It is not among the tasks that may have crashed a worker either.

--- a/dalemast/core/scheduling/__init__.py
+++ b/dalemast/core/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling of jobs at their owner: placement and retries of tasks, and refusal of jobs."""
 
 from dalemast.core.scheduling.actions import (
+    NEVER_STARTED,
     Action,
     CapacityRequest,
     EndReason,
@@ -35,6 +36,7 @@
 from dalemast.core.scheduling.workers import CapacityReport, SlowRun, WorkerView
 
 __all__ = [
+    "NEVER_STARTED",
     "DEFAULT_LOAD_POLICY",
     "Action",
     "RequestCapacity",
--- a/dalemast/core/supervision/base.py
+++ b/dalemast/core/supervision/base.py
@@ -67,7 +67,9 @@
 
     RUNNING = "running"
     RUN_USED = "run-used"
-    """The worker has already received this run or a later one."""
+    """The worker has received this run or a later one, from another order: it ignored this one."""
+    RUN_RECEIVED = "run-received"
+    """The worker has received this run or a later one, maybe by an earlier try of this order."""
     NO_CAPACITY = "no-room"
     EXPIRED = "expired"
     """The lease of the order had ended on the worker's clock before the order was executed."""
--- a/dalemast/core/supervision/crashes.py
+++ b/dalemast/core/supervision/crashes.py
@@ -25,6 +25,7 @@
             has_begun=run.has_begun,
         )
         for run in runs
+        if not run.is_number_used
     )
 
 
--- a/dalemast/core/supervision/runs.py
+++ b/dalemast/core/supervision/runs.py
@@ -65,6 +65,8 @@
         """When an unanswered order can no longer be executed."""
         self.is_order_open = True
         """Whether the order's outcome is still unknown, so that it may be sent again."""
+        self.is_number_used = False
+        """Whether the worker ignored the order, as it had received this run number before."""
         self.kept_alive_until: float | None = None
         """Once the run was told to stop, until when its owner had kept it alive."""
         self.stopping_since: float | None = None
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -368,11 +368,12 @@
         if outcome in (StartOutcome.REJECTED, StartOutcome.WRONG_INCARNATION, StartOutcome.FENCED):
             self._health.record_failure(run_id.job_id, now=now)
             return self._end(run, EndReason.NOT_TAKEN, now)
-        if outcome is StartOutcome.RUN_USED:
+        if outcome in (StartOutcome.RUN_USED, StartOutcome.RUN_RECEIVED):
             # An earlier attempt at this order may have been executed without an answer, and its
             # run may have ended since. The next poll shows how it ended.
             self._begin_stop(run, now)
             run.expires_at = now
+            run.is_number_used = outcome is StartOutcome.RUN_USED
             return []
         return self._end(run, EndReason.NO_ROOM, now)
 
@@ -643,7 +644,9 @@
 
 
 def _get_end_reason(run: Run, reason: EndReason) -> EndReason:
-    """Return a run's end reason, which is PREEMPTED if it was stopped by a preemption."""
+    """Return a run's end reason: why it was stopped, or that it was never started."""
     if run.is_preempted and reason is EndReason.STOPPED:
         return EndReason.PREEMPTED
+    if run.is_number_used and reason is EndReason.STOPPED:
+        return EndReason.RUN_USED
     return reason
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -10,6 +10,7 @@
 from dalemast import clock
 from dalemast.core.evacuations import Evacuations
 from dalemast.core.scheduling import (
+    NEVER_STARTED,
     Action,
     CapacityRelease,
     CapacityReport,
@@ -81,8 +82,6 @@
 )
 """End reasons with a log line of their own. Refused starts are frequent under load, and are counted
 in the log line at the end of the job instead."""
-NOT_EXECUTED = frozenset({EndReason.NO_ROOM, EndReason.NOT_TAKEN})
-"""End reasons of starts that no worker has executed."""
 Apply = Callable[[list[Action]], None]
 
 
@@ -414,7 +413,7 @@
         """Withdraw at the peers an announced start that was not executed."""
         row = message.run
         key = TaskKey(row.step, row.position)
-        if message.reason not in NOT_EXECUTED:
+        if message.reason not in NEVER_STARTED:
             return
         if not self._scheduler.has_hidden_end(row.job, key):
             # Its start was not announced.
--- a/dalemast/platform/worker.py
+++ b/dalemast/platform/worker.py
@@ -67,9 +67,12 @@
     "late": StartOutcome.EXPIRED,
     "fence": StartOutcome.FENCED,
 }
-CONCLUSIVE_OUTCOMES = frozenset({StartOutcome.RUNNING, StartOutcome.RUN_USED})
-"""Outcomes that also settle earlier, unanswered tries. After any other outcome an earlier try may
-have started the run, or may start it later."""
+RETRIED_OUTCOMES = {
+    StartOutcome.RUNNING: StartOutcome.RUNNING,
+    StartOutcome.RUN_USED: StartOutcome.RUN_RECEIVED,
+}
+"""Outcomes of a start by that of its last try, if an earlier one was not answered. After any other
+one the earlier try may have started the run, or may start it later."""
 END_REASONS = {"done": EndReason.DONE, "failed": EndReason.FAILED}
 """All other reasons (stopped, lapsed, broken, alone) mean that the run did not finish."""
 
@@ -164,8 +167,8 @@
             outcome = self._read_start_response(response, headers)
             if outcome is StartOutcome.FENCED:
                 continue
-            if may_have_arrived and outcome not in CONCLUSIVE_OUTCOMES:
-                return StartOutcome.UNANSWERED
+            if may_have_arrived:
+                return RETRIED_OUTCOMES.get(outcome, StartOutcome.UNANSWERED)
             return outcome
         if may_have_arrived:
             return StartOutcome.UNANSWERED
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -200,6 +200,27 @@
         (report,) = pick(self.poll(ended=ended, now=1.3), ReportEnd)
         self.assertIs(EndReason.DONE, report.reason)
 
+    def test_an_order_that_the_worker_ignored_has_not_run(self) -> None:
+        """Guards against counting it as a run that may have crashed its worker."""
+        request = make_start()
+        self.start(request)
+        self.supervisor.handle_start_outcome(
+            request.run_id, StartOutcome.RUN_USED, now=1.2, expires_at=1.9
+        )
+        self.assertEqual((), list_crashed(self.supervisor.runs.values(), ended_at=1.25))
+        (report,) = pick(self.poll(now=1.3), ReportEnd)
+        self.assertIs(EndReason.RUN_USED, report.reason)
+
+    def test_a_run_that_an_earlier_try_may_have_begun_counts_as_stopped(self) -> None:
+        request = make_start()
+        self.start(request)
+        self.supervisor.handle_start_outcome(
+            request.run_id, StartOutcome.RUN_RECEIVED, now=1.2, expires_at=1.9
+        )
+        self.assertEqual(1, len(list_crashed(self.supervisor.runs.values(), ended_at=1.25)))
+        (report,) = pick(self.poll(now=1.3), ReportEnd)
+        self.assertIs(EndReason.STOPPED, report.reason)
+
 
 class IncarnationTests(SupervisorTestCase):
     def test_a_new_incarnation_ends_all_runs(self) -> None:
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -443,6 +443,11 @@
             outcome, _ = self.order(None, answer)
             self.assertIs(StartOutcome.UNANSWERED, outcome)
 
+    def test_a_used_run_number_settles_a_first_try_only(self) -> None:
+        """The worker may have received the number by an earlier, unanswered try."""
+        outcomes = [self.order(*answers)[0] for answers in ([(409, "old")], [None, (409, "old")])]
+        self.assertEqual([StartOutcome.RUN_USED, StartOutcome.RUN_RECEIVED], outcomes)
+
     def test_a_rejected_first_try_has_not_run(self) -> None:
         outcomes = [self.order(answer)[0] for answer in ((409, "late"), (421, ""))]
         self.assertEqual([StartOutcome.EXPIRED, StartOutcome.WRONG_INCARNATION], outcomes)
