Count two runs of a task on one worker incarnation as two ends

Run 4 on worker 5 is stopped as the caller hangs up, which counts; the next run goes to worker 5 as well and crashes it. Ends were kept by incarnation, so the two were one: four known, and a further start was allowed.

Ends are kept by incarnation and run number now, with agents and entries. The pair is unique, since a worker executes each number once. A report by the agent and a start that was told in advance name the same pair and stay one end.

`CrashedRow` has one field more, at its end and with a default.

--- a/dalemast/core/scheduling/__init__.py
+++ b/dalemast/core/scheduling/__init__.py
@@ -18,7 +18,7 @@
 )
 from dalemast.core.scheduling.balance import BalancedPlacement
 from dalemast.core.scheduling.base import BaseOrder, BasePlacement
-from dalemast.core.scheduling.crashes import Crash, CrashedTask
+from dalemast.core.scheduling.crashes import Crash, CrashedTask, RunRef
 from dalemast.core.scheduling.estimates import RunTimes
 from dalemast.core.scheduling.exclusions import WorkerExclusions
 from dalemast.core.scheduling.forecasts import DemandElsewhere, Forecast
@@ -63,6 +63,7 @@
     "CapacityReport",
     "RunMoved",
     "RunPresumedOver",
+    "RunRef",
     "RunTimes",
     "Scheduler",
     "SchedulerLimits",
--- a/dalemast/core/scheduling/crashes.py
+++ b/dalemast/core/scheduling/crashes.py
@@ -29,7 +29,7 @@
 
 from dalemast.core.workloads import TaskKey
 
-__all__ = ["Crash", "CrashRecords", "CrashedTask"]
+__all__ = ["Crash", "CrashRecords", "CrashedTask", "RunRef"]
 
 MAX_CRASHES = 3
 """Number of confirmed crashes after which a task is given up."""
@@ -47,10 +47,17 @@
 """Maximum number of remembered jobs that are not open here; the oldest ones are dropped first."""
 
 
+RunRef = tuple[str, int]
+"""Identifies a run of a task: the incarnation of its worker, and its number. A worker executes each
+number only once, so another owner's run of the same number there is never executed."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Crash:
     """The end of a worker's incarnation while a task ran on it.
 
+    ``run`` is the number of the task's run, or 0 if it is unknown. Several runs on one incarnation
+    are several ends: the worker may have crashed under the last one only, but each was a start.
     ``age_s`` is how long the task had run, in seconds, or None if that is unknown. ``is_observed``
     means that the worker process was found to have ended within its lease, ``has_begun`` that the
     task is known to have started there. ``is_lasting`` marks the start of a suspect: it counts as
@@ -59,12 +66,18 @@
 
     incarnation: str
     age_s: float | None
+    run: int = 0
     is_observed: bool = True
     has_begun: bool = True
     is_lasting: bool = False
     recorded_at: float = field(default=float("-inf"), compare=False)
     """When the end was first recorded here."""
 
+    @property
+    def ref(self) -> RunRef:
+        """The run of the task that it ended."""
+        return self.incarnation, self.run
+
     @property
     def is_confirmed(self) -> bool:
         """Whether the worker is known to have crashed while the task ran."""
@@ -83,15 +96,16 @@
     job_id: str
     task: TaskKey
     age_s: float | None
+    run: int = 0
     has_begun: bool = True
 
 
 @dataclass(kw_only=True, slots=True)
 class JobCrashes:
-    """The crashes of a job's tasks, by incarnation, and when the last one was recorded."""
+    """The crashes of a job's tasks, by run, and when the last one was recorded."""
 
     recorded_at: float
-    tasks: dict[TaskKey, dict[str, Crash]] = field(default_factory=dict)
+    tasks: dict[TaskKey, dict[RunRef, Crash]] = field(default_factory=dict)
 
 
 class CrashRecords:
@@ -116,16 +130,14 @@
 
     def record(self, job_id: str, task: TaskKey, crash: Crash, *, now: float) -> bool:
         """Record a crash; return whether it was new, or newly confirmed."""
-        before = next(
-            (c for c in self.get(job_id, task) if c.incarnation == crash.incarnation), None
-        )
+        before = next((c for c in self.get(job_id, task) if c.ref == crash.ref), None)
         if before is not None and (before.is_confirmed or not crash.is_confirmed):
             if crash.is_lasting and not before.is_confirmed:
-                self._jobs[job_id].tasks[task][crash.incarnation] = replace(before, is_lasting=True)
+                self._jobs[job_id].tasks[task][crash.ref] = replace(before, is_lasting=True)
             return False
         known = self._jobs.pop(job_id, None) or JobCrashes(recorded_at=now)
         known.recorded_at = now
-        known.tasks.setdefault(task, {})[crash.incarnation] = replace(crash, recorded_at=now)
+        known.tasks.setdefault(task, {})[crash.ref] = replace(crash, recorded_at=now)
         if crash.is_doubtful:
             self._unconfirmed_incarnations.add(crash.incarnation)
         self._jobs[job_id] = known
@@ -180,17 +192,22 @@
             for task, crashes in self._jobs[job_id].tasks.items():
                 for crash in crashes.values():
                     row = CrashedTask(
-                        job_id=job_id, task=task, age_s=crash.age_s, has_begun=crash.has_begun
+                        job_id=job_id,
+                        task=task,
+                        age_s=crash.age_s,
+                        run=crash.run,
+                        has_begun=crash.has_begun,
                     )
-                    rows.setdefault(replace(crash, age_s=None, has_begun=True), []).append(row)
+                    end = replace(crash, age_s=None, run=0, has_begun=True)
+                    rows.setdefault(end, []).append(row)
         return rows
 
-    def withdraw(self, job_id: str, task: TaskKey, incarnation: str) -> None:
+    def withdraw(self, job_id: str, task: TaskKey, ref: RunRef) -> None:
         """Drop the unconfirmed end of a start that was not executed."""
         known = self._jobs.get(job_id)
-        crash = None if known is None else known.tasks.get(task, {}).get(incarnation)
+        crash = None if known is None else known.tasks.get(task, {}).get(ref)
         if known is not None and crash is not None and not crash.is_confirmed:
-            del known.tasks[task][incarnation]
+            del known.tasks[task][ref]
 
     def clear_unconfirmed(self, incarnation: str, *, answered_at: float = math.inf) -> set[str]:
         """Drop the unconfirmed ends of an incarnation that has answered since; return their jobs.
@@ -200,18 +217,19 @@
         """
         if incarnation not in self._unconfirmed_incarnations:
             return set()
-        doubtful = {
-            (job_id, task): crashes[incarnation]
+        doubtful = [
+            (job_id, task, ref, crash)
             for job_id, known in self._jobs.items()
             for task, crashes in known.tasks.items()
-            if incarnation in crashes and crashes[incarnation].is_doubtful
-        }
-        cleared = {key for key, crash in doubtful.items() if crash.recorded_at <= answered_at}
+            for ref, crash in crashes.items()
+            if crash.incarnation == incarnation and crash.is_doubtful
+        ]
+        cleared = [row[:3] for row in doubtful if row[3].recorded_at <= answered_at]
         if len(cleared) == len(doubtful):
             self._unconfirmed_incarnations.discard(incarnation)
-        for job_id, task in cleared:
-            del self._jobs[job_id].tasks[task][incarnation]
-        return {job_id for job_id, _ in cleared}
+        for job_id, task, ref in cleared:
+            del self._jobs[job_id].tasks[task][ref]
+        return {job_id for job_id, _, _ in cleared}
 
     def tick(self, *, now: float) -> None:
         """Drop ended jobs whose last crash is older than ``RETENTION_S``."""
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -27,6 +27,7 @@
     Crash,
     CrashedTask,
     CrashRecords,
+    RunRef,
 )
 from dalemast.core.scheduling.demand import DemandTracker, summarize_waiting
 from dalemast.core.scheduling.departures import DepartureMoves, is_plausible
@@ -410,6 +411,7 @@
             crash = Crash(
                 incarnation=incarnation,
                 age_s=row.age_s,
+                run=row.run,
                 is_observed=is_observed,
                 has_begun=row.has_begun,
                 is_lasting=is_lasting,
@@ -438,10 +440,15 @@
         crashes = self._crashes.get(job_id, task)
         return any(crash.incarnation == incarnation for crash in crashes)
 
+    def has_recorded(self, job_id: str, task: TaskKey, ref: RunRef) -> bool:
+        """Return whether a worker has crashed, or may have, under one run of a task."""
+        crashes = self._crashes.get(job_id, task)
+        return any(crash.ref == ref for crash in crashes)
+
     def withdraw_crash(self, incarnation: str, tasks: Iterable[CrashedTask]) -> None:
         """Discard the unobserved crash of tasks that a peer could not start on a worker."""
         for row in tasks:
-            self._crashes.withdraw(row.job_id, row.task, incarnation)
+            self._crashes.withdraw(row.job_id, row.task, (incarnation, row.run))
             if row.job_id in self._jobs:
                 self._update_suspects(self._jobs[row.job_id])
 
@@ -468,7 +475,7 @@
         if task.phase in (TaskPhase.DONE, TaskPhase.WAITING, TaskPhase.BLOCKED):
             return []
         if reason is EndReason.CRASHED:
-            row = CrashedTask(job_id=job_id, task=key, age_s=None)
+            row = CrashedTask(job_id=job_id, task=key, age_s=None, run=run)
             return self.note_crash(name, [row], now=now)
         if reason is EndReason.DONE:
             return self._handle_success(job, task, run_s, now)
@@ -671,7 +678,11 @@
         ]
         for over in presumed:
             crash = Crash(
-                incarnation=over.worker, age_s=None, is_observed=False, is_lasting=is_lasting
+                incarnation=over.worker,
+                run=over.run,
+                age_s=None,
+                is_observed=False,
+                is_lasting=is_lasting,
             )
             self._crashes.record(job_id, over.task, crash, now=now)
         return presumed
@@ -695,7 +706,7 @@
         task.has_given_way = True
         job.leave_worker(task)
         job.set_waiting(task)
-        unobserved = Crash(incarnation=over.worker, age_s=None, is_observed=False)
+        unobserved = Crash(incarnation=over.worker, run=over.run, age_s=None, is_observed=False)
         self._crashes.record(job.request.id, task.key, unobserved, now=now)
         return over
 
--- a/dalemast/core/supervision/crashes.py
+++ b/dalemast/core/supervision/crashes.py
@@ -21,6 +21,7 @@
         CrashedTask(
             job_id=run.request.run_id.job_id,
             task=run.request.run_id.task,
+            run=run.request.run_id.run,
             age_s=_get_age(run, ended_at),
             has_begun=run.has_begun,
         )
--- a/dalemast/fleet/crashes.py
+++ b/dalemast/fleet/crashes.py
@@ -64,6 +64,7 @@
                 position=row.task.position,
                 age_s=-1.0 if row.age_s is None else round(row.age_s, 4),
                 has_begun=row.has_begun,
+                run=row.run,
             )
             for row in tasks
         ),
@@ -72,7 +73,7 @@
 
 def make_presumed_crashed(over: RunPresumedOver) -> WorkerCrashed:
     """Return the message about a run whose end was not observed: its worker may have crashed."""
-    task = CrashedTask(job_id=over.job_id, task=over.task, age_s=None)
+    task = CrashedTask(job_id=over.job_id, task=over.task, age_s=None, run=over.run)
     return make_worker_crashed(over.worker, [task], is_observed=False, is_lasting=over.is_lasting)
 
 
@@ -84,6 +85,7 @@
             task=TaskKey(row.step, row.position),
             age_s=None if row.age_s < 0 else row.age_s,
             has_begun=row.has_begun,
+            run=row.run,
         )
         for row in crashed.tasks
     ]
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -418,10 +418,10 @@
         if not self._scheduler.has_hidden_end(row.job, key):
             # Its start was not announced.
             return
-        if self._scheduler.has_crashed(row.job, key, worker):
-            # An earlier start of the task there was executed.
+        if self._scheduler.has_recorded(row.job, key, (worker, row.run)):
+            # Another owner's run of this number was executed there.
             return
-        task = CrashedTask(job_id=row.job, task=key, age_s=None)
+        task = CrashedTask(job_id=row.job, task=key, age_s=None, run=row.run)
         withdrawn = make_worker_crashed(worker, [task], is_observed=False)
         self._notify_peers(msgspec.structs.replace(withdrawn, is_withdrawn=True))
 
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -298,7 +298,7 @@
 class CrashedRow(Message, frozen=True):
     """A task that was running when its worker crashed, as in ``CrashedTask``.
 
-    ``age_s`` is -1 if it is unknown.
+    ``age_s`` is -1 if it is unknown, and ``run`` 0.
     """
 
     job: str
@@ -306,6 +306,7 @@
     position: int
     age_s: float
     has_begun: bool = True
+    run: int = 0
 
 
 class WorkerCrashed(Message, frozen=True, tag="Z"):
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from unittest import mock
 
 import testtools
@@ -57,7 +58,7 @@
 )
 
 
-def make_crash(incarnation: str, *, age_s: float | None = 0.03, **fields: bool) -> Crash:
+def make_crash(incarnation: str, *, age_s: float | None = 0.03, **fields: Any) -> Crash:
     return Crash(incarnation=incarnation, age_s=age_s, **fields)
 
 
@@ -138,6 +139,20 @@
         self.assertEqual(set(), self.records.clear_unconfirmed("i-2"))
         self.assertEqual(["i-2"], [crash.incarnation for crash in self.records.get("open", TASK)])
 
+    def test_each_run_on_an_incarnation_counts(self) -> None:
+        """One that was stopped is another start than the one that crashes the worker later."""
+        for run in range(1, MAX_ENDS):
+            self.record(make_crash("i-1", age_s=None, run=run, is_observed=False))
+        self.assertFalse(self.records.should_give_up("open", TASK))
+        last = make_crash("i-1", age_s=None, run=MAX_ENDS, is_observed=False)
+        self.assertTrue(self.should_give_up(last))
+
+    def test_a_withdrawn_run_leaves_the_other_ends_of_its_worker(self) -> None:
+        for run in (1, 2):
+            self.record(make_crash("i-1", run=run, is_observed=False, is_lasting=True))
+        self.records.withdraw("open", TASK, ("i-1", 2))
+        self.assertEqual([1], [crash.run for crash in self.records.get("open", TASK)])
+
     def test_an_open_job_is_kept_and_an_ended_one_dropped_after_a_while(self) -> None:
         self.record(make_crash("i-1"))
         self.record(make_crash("i-1"), job_id="ended")
--- a/tests/histories/test_hidden_crashes.py
+++ b/tests/histories/test_hidden_crashes.py
@@ -9,6 +9,8 @@
 
 USED_NUMBER_SEEDS = (108,)
 """A start that the worker ignored counted as a run that may have crashed it."""
+RUNS_ON_ONE_INCARNATION_SEEDS = (592,)
+"""A run that was stopped and one that crashed the same incarnation counted as one end."""
 
 
 class HiddenCrashTests(unittest.TestCase):
@@ -20,3 +22,6 @@
 
     def test_starts_with_a_used_run_number_do_not_count(self) -> None:
         self.check(USED_NUMBER_SEEDS)
+
+    def test_each_run_on_an_incarnation_counts(self) -> None:
+        self.check(RUNS_ON_ONE_INCARNATION_SEEDS)
