Tell peers of a start after an observed crash in advance, too

Cause: peers were told of a start in advance only for a task with a hidden end (`has_hidden_end`). After a crash that was observed the task had none, so the next end was known to its owner and its agent alone, and was lost with them.

A message to each peer for a restart after a crash, and one for its end.

--- a/dalemast/fleet/entry/job_tracker.py
+++ b/dalemast/fleet/entry/job_tracker.py
@@ -412,9 +412,12 @@
         )
 
     def _announce_starts(self, starts: Iterable[StartTask]) -> None:
-        """Report starts of tasks with hidden ends to other entries before they begin."""
+        """Report starts of suspect tasks to other entries before they begin.
+
+        What only this entry and an agent know of a crash is lost if both of them end.
+        """
         for start in starts:
-            if start.has_hidden_end:
+            if start.is_suspect:
                 self._report_unobserved_end(
                     RunPresumedOver(
                         worker=start.worker,
--- a/tests/histories/test_hidden_crashes.py
+++ b/tests/histories/test_hidden_crashes.py
@@ -5,23 +5,59 @@
 
 import unittest
 
+from tests.histories.base import History, JobPlan, Kill
 from tests.histories.draw import draw_crash_history, play
 
-USED_NUMBER_SEEDS = (108,)
+USED_NUMBER_SEEDS = (108, 368)
 """A start that the worker ignored counted as a run that may have crashed it."""
 RUNS_ON_ONE_INCARNATION_SEEDS = (592,)
 """A run that was stopped and one that crashed the same incarnation counted as one end."""
+UNANNOUNCED_SEEDS = (7, 25, 28, 34)
+"""Seeds of :func:`make_lost_owner_history` in which the first crash is observed, later ones not."""
+SECOND_CRASH_S = 0.9
+WORKERS = 6
+CRASH_S = 0.4
+
+
+def make_lost_owner_history(seed: int, *, killed_at_s: float, hidden_share: float) -> History:
+    """Return a history of one crashing task, whose owner and all agents are killed together."""
+    agents = [f"agent-{number}" for number in range(WORKERS)]
+    return History(
+        seed=seed,
+        jobs=(JobPlan(at_s=0.0, run_s=(1.0,), crash_s=(CRASH_S,)),),
+        faults=(
+            *(Kill(process=agent, at_s=killed_at_s, for_s=0.3) for agent in agents),
+            Kill(process="entry-0", at_s=killed_at_s, for_s=1.0),
+        ),
+        entries=2,
+        clock_rates=(1.0,) * WORKERS,
+        duration_s=14.0,
+        keeps_ids=True,
+        crash_downtime_s=0.5,
+        hidden_crash_share=hidden_share,
+    )
 
 
 class HiddenCrashTests(unittest.TestCase):
     def check(self, seeds: tuple[int, ...]) -> None:
         for seed in seeds:
-            with self.subTest(seed=seed):
-                outcome = play(draw_crash_history(seed))
-                self.assertEqual([], outcome.broken, "\n".join(outcome.trace[-400:]))
+            self.check_history(draw_crash_history(seed))
+
+    def check_history(self, history: History) -> None:
+        with self.subTest(seed=history.seed):
+            outcome = play(history)
+            self.assertEqual([], outcome.broken, "\n".join(outcome.trace[-400:]))
+            self.assertGreater(outcome.crashes, 2)
 
     def test_starts_with_a_used_run_number_do_not_count(self) -> None:
         self.check(USED_NUMBER_SEEDS)
 
     def test_each_run_on_an_incarnation_counts(self) -> None:
         self.check(RUNS_ON_ONE_INCARNATION_SEEDS)
+
+    def test_peers_know_of_a_start_after_an_observed_crash(self) -> None:
+        """Its end was known to its owner and its agent only."""
+        for seed in UNANNOUNCED_SEEDS:
+            self.check_history(
+                make_lost_owner_history(seed, killed_at_s=SECOND_CRASH_S, hidden_share=0.8)
+            )
