Count a run whose stop nobody confirmed before its id is released

Cause, from the traces: the caller hangs up before the first hidden end is presumed over. Its entry stops the run, hears nothing of it, as the agent is killed as well, and releases the id once the run must have ended. That end was counted by nobody, and the next submission began at nothing.

A stopped run that no agent has reported as ended by then counts as an end that was not seen, here and at the peers. They are told before the id is released, on the same links, so that the next owner knows. A confirmed stop, the usual case, counts as little as before and costs no message. If the worker answers its agent later, the end is dropped as any other.

--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -252,6 +252,23 @@
         presumed = self._record_unobserved(job_id, runs, now)
         return [*self.cancel(job_id), *presumed]
 
+    def presume_over(self, run: StopTask, *, now: float) -> list[RunPresumedOver]:
+        """Record a run of a removed job, whose stop was not confirmed, as a possible crash.
+
+        Nothing is returned if it is recorded already.
+        """
+        unobserved = Crash(incarnation=run.worker, run=run.run, age_s=None, is_observed=False)
+        if not self._crashes.record(run.job_id, run.task, unobserved, now=now):
+            return []
+        over = RunPresumedOver(
+            worker=run.worker,
+            job_id=run.job_id,
+            task=run.task,
+            run=run.run,
+            lost_s=self._limits.lost_run_s,
+        )
+        return [over]
+
     def add_worker(self, view: WorkerView, *, now: float) -> None:
         """Add a worker that its agent has announced."""
         self._workers[view.name] = view
--- a/dalemast/fleet/entry/job_tracker.py
+++ b/dalemast/fleet/entry/job_tracker.py
@@ -114,7 +114,11 @@
         self._ticked_at = clock.monotonic()
         self._pause_count = 0
         self._open: dict[str, TrackedJob] = {}
-        self._unfinished_runs = UnfinishedRuns(lost_run_s=times.lost_run_s, release=self._release)
+        self._unfinished_runs = UnfinishedRuns(
+            lost_run_s=times.lost_run_s,
+            presume_over=self._presume_stopped_run_over,
+            release=self._release,
+        )
 
     def __len__(self) -> int:
         return len(self._open)
@@ -429,6 +433,14 @@
                     )
                 )
 
+    def _presume_stopped_run_over(self, run: StopTask) -> None:
+        """Record that the end of a run was not observed, before its id is granted to others.
+
+        Its worker may have crashed. The next owner of the job would not know of it.
+        """
+        for action in self._scheduler.presume_over(run, now=clock.monotonic()):
+            self._record_presumed_over(action)
+
     def _record_presumed_over(self, action: RunPresumedOver) -> None:
         self._report_unobserved_end(action)
         self._metrics.count("runs.presumed-over")
--- a/dalemast/fleet/entry/unfinished_runs.py
+++ b/dalemast/fleet/entry/unfinished_runs.py
@@ -14,11 +14,19 @@
 
     Runs are identified by worker, task and number, since an agent that was unreachable may report
     the ends of older runs at any time. ``lost_run_s`` is how long a run may go on after its stop
-    was sent. ``release`` is called with a job's id once all its runs have ended.
+    was sent. ``presume_over`` is called with a run that no agent has reported as ended by then, and
+    ``release`` with a job's id once all its runs have ended.
     """
 
-    def __init__(self, *, lost_run_s: float, release: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        *,
+        lost_run_s: float,
+        presume_over: Callable[[StopTask], None],
+        release: Callable[[str], None],
+    ) -> None:
         self._lost_run_s = lost_run_s
+        self._presume_over = presume_over
         self._release = release
         self._jobs: dict[str, dict[StopTask, float]] = {}
 
@@ -59,4 +67,5 @@
         """Treat runs whose time is over as ended."""
         for runs in list(self._jobs.values()):
             for run in [run for run, ends_by in runs.items() if now >= ends_by]:
+                self._presume_over(run)
                 self.record_end(run)
--- a/tests/fleet/test_job_tracker.py
+++ b/tests/fleet/test_job_tracker.py
@@ -12,6 +12,7 @@
     EndReason,
     FastestPlacement,
     LeastSlackOrder,
+    RunPresumedOver,
     Scheduler,
     SchedulerLimits,
     StartTask,
@@ -69,6 +70,8 @@
         self.starts: list[StartTask] = []
         self.stops: list[StopTask] = []
         self.claims = FakeClaims()
+        self.presumed: list[tuple[str, int, tuple[str, ...]]] = []
+        """The runs that were presumed over, with the log of the claims at that time."""
         self.scheduler = Scheduler(
             order=LeastSlackOrder(),
             placement=FastestPlacement(remote_factor=1.5),
@@ -82,6 +85,7 @@
             send=self._send,
             request_capacity=lambda request: None,
             check_pause=self._check_pause,
+            report_unobserved_end=self._record_unobserved_end,
         )
         self.tracker = tracker
         self.paused_s = 0.0
@@ -116,6 +120,9 @@
         await wait_until(lambda: len(self.starts) == started_before + count, "the starts")
         return job
 
+    def _record_unobserved_end(self, over: RunPresumedOver) -> None:
+        self.presumed.append((over.worker, over.run, tuple(self.claims.log)))
+
     def _check_pause(self) -> bool:
         """Recover from a process pause if ``paused_s`` is set, as the entry process does."""
         if not self.paused_s:
@@ -155,6 +162,35 @@
 
         self.run_async(scenario())
 
+    def test_peers_know_of_a_run_without_a_reported_end_before_its_id_is_released(self) -> None:
+        """Its worker may have crashed, and the next owner would not count the run."""
+
+        async def scenario() -> None:
+            tracker = self.make_tracker("w1")
+            job = await self.submit(tracker)
+            tracker.leave(JOB)
+            self.assertEqual([], self.presumed)
+            tracker.tick(self.now + 2 * TIMES.lost_run_s)
+            self.assertEqual([("w1", 1, ("granted",))], self.presumed)
+            self.assertEqual(["granted", "released"], self.claims.log)
+            self.assertTrue(self.scheduler.is_suspect(JOB, KEY))
+            await job
+
+        self.run_async(scenario())
+
+    def test_a_run_with_a_reported_end_is_not_presumed_over(self) -> None:
+        async def scenario() -> None:
+            tracker = self.make_tracker("w1")
+            job = await self.submit(tracker)
+            tracker.leave(JOB)
+            self.end_run(tracker, run=1, worker="w1")
+            tracker.tick(self.now + 2 * TIMES.lost_run_s)
+            self.assertEqual([], self.presumed)
+            self.assertFalse(self.scheduler.is_suspect(JOB, KEY))
+            await job
+
+        self.run_async(scenario())
+
     def test_a_duplicate_end_does_not_release_the_id(self) -> None:
         async def scenario() -> None:
             tracker = self.make_tracker("w1")
--- a/tests/histories/test_hidden_crashes.py
+++ b/tests/histories/test_hidden_crashes.py
@@ -12,6 +12,8 @@
 """A start that the worker ignored counted as a run that may have crashed it."""
 RUNS_ON_ONE_INCARNATION_SEEDS = (592,)
 """A run that was stopped and one that crashed the same incarnation counted as one end."""
+UNCONFIRMED_STOP_SEEDS = (414, 595)
+"""A run whose caller hung up, and whose stop nobody confirmed, counted as nothing."""
 UNANNOUNCED_SEEDS = (7, 25, 28, 34)
 """Seeds of :func:`make_lost_owner_history` in which the first crash is observed, later ones not."""
 SECOND_CRASH_S = 0.9
@@ -61,3 +63,6 @@
             self.check_history(
                 make_lost_owner_history(seed, killed_at_s=SECOND_CRASH_S, hidden_share=0.8)
             )
+
+    def test_a_stop_that_nobody_confirms_counts(self) -> None:
+        self.check(UNCONFIRMED_STOP_SEEDS)
