Count an abandoned run of a suspect for good

Cause, from the trace: after four hidden ends the fifth run goes on as its owner is cut off from its peers and drops its jobs. It records the run as an end that was not seen, but not for good, as it does for a run that a caller's hang-up stops. The worker answers, the record is dropped, and a sixth start follows. A run that is presumed over was recorded in the same way, while the peers had been told of its start for good: owner and peers counted differently.

All runs of a task with a hidden end whose end is not reported are recorded for good now, in one place. Without a hidden end nothing changes.

--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -237,7 +237,7 @@
         job = self._jobs.get(job_id)
         runs = [] if job is None else [t for t in job.tasks.values() if t.phase in ON_WORKER]
         suspects = [task for task in runs if task.has_hidden_end]
-        presumed = self._record_unobserved(job_id, suspects, now, is_lasting=True)
+        presumed = self._record_unobserved(job_id, suspects, now)
         return [*self.cancel(job_id), *presumed]
 
     def abandon(self, job_id: str, *, now: float) -> list[Action]:
@@ -245,7 +245,8 @@
 
         Their outcome will not be reported, so each run is recorded as an unobserved worker crash,
         here and at the peers. Otherwise a resubmitted task that crashes its workers would start
-        without a crash history.
+        without a crash history. Runs of tasks with hidden ends count whatever their workers report,
+        as in :meth:`drop`.
         """
         job = self._jobs.get(job_id)
         runs = [] if job is None else [t for t in job.tasks.values() if t.phase in ON_WORKER]
@@ -624,7 +625,7 @@
         """
         if reason in NEVER_STARTED or not task.has_hidden_end:
             return []
-        self._record_unobserved(job.request.id, [task], now, is_lasting=True)
+        self._record_unobserved(job.request.id, [task], now)
         return self._check_crashes(job, now)
 
     def _handle_unfinished(self, job: Job, task: Task, reason: EndReason) -> None:
@@ -679,17 +680,20 @@
             self._update_suspects(self._jobs[job_id])
 
     def _record_unobserved(
-        self, job_id: str, tasks: Iterable[Task], now: float, *, is_lasting: bool = False
+        self, job_id: str, tasks: Iterable[Task], now: float, *, lost_s: float = 0.0
     ) -> list[RunPresumedOver]:
-        """Record the runs of tasks whose outcome will not be reported as unobserved crashes."""
+        """Record the runs of tasks whose outcome will not be reported as unobserved crashes.
+
+        Once a task has a hidden end, each of its runs counts whatever its worker reports later.
+        """
         presumed = [
             RunPresumedOver(
                 worker=task.worker,
                 job_id=job_id,
                 task=task.key,
                 run=task.run,
-                lost_s=0.0,
-                is_lasting=is_lasting,
+                lost_s=lost_s,
+                is_lasting=task.has_hidden_end,
             )
             for task in tasks
         ]
@@ -699,7 +703,7 @@
                 run=over.run,
                 age_s=None,
                 is_observed=False,
-                is_lasting=is_lasting,
+                is_lasting=over.is_lasting,
             )
             self._crashes.record(job_id, over.task, crash, now=now)
         return presumed
@@ -713,18 +717,11 @@
 
     def _presume_over(self, job: Job, task: Task, now: float) -> RunPresumedOver:
         """Requeue the task of a lost run, and record an unobserved crash of its worker."""
-        over = RunPresumedOver(
-            worker=task.worker,
-            job_id=job.request.id,
-            task=task.key,
-            run=task.run,
-            lost_s=now - (task.free_at - self._limits.lost_run_s),
-        )
+        lost_s = now - (task.free_at - self._limits.lost_run_s)
+        (over,) = self._record_unobserved(job.request.id, [task], now, lost_s=lost_s)
         task.has_given_way = True
         job.leave_worker(task)
         job.set_waiting(task)
-        unobserved = Crash(incarnation=over.worker, run=over.run, age_s=None, is_observed=False)
-        self._crashes.record(job.request.id, task.key, unobserved, now=now)
         return over
 
     def _serve_or_refuse(self, jobs: list[Job], now: float) -> list[Action]:
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -423,6 +423,25 @@
             starts += 1
         self.assertLessEqual(starts, MAX_ENDS)
 
+    def test_a_run_after_a_hidden_end_that_is_abandoned_counts_though_its_worker_answers(
+        self,
+    ) -> None:
+        """An owner that is cut off before each crash must not keep the count from rising."""
+        self.add_workers(4 * MAX_ENDS)
+        (start,) = get_starts(self.submit("a"))
+        start = self.crash_unobserved(start, now=10.0)
+        starts = 2
+        for number in range(2 * MAX_ENDS):
+            now = 20.0 + number
+            self.scheduler.abandon("a", now=now)
+            self.scheduler.reconcile(start.worker, [], now=now + 0.2)
+            again = get_starts(self.submit("a", now=now + 0.5))
+            if not again:
+                break
+            (start,) = again
+            starts += 1
+        self.assertLessEqual(starts, MAX_ENDS)
+
     def test_a_run_after_a_hidden_end_that_is_stopped_counts(self) -> None:
         """A move off a slow worker must not keep the count from rising."""
         self.add_workers(4 * MAX_ENDS)
--- a/tests/histories/test_hidden_crashes.py
+++ b/tests/histories/test_hidden_crashes.py
@@ -14,6 +14,8 @@
 """A run that was stopped and one that crashed the same incarnation counted as one end."""
 UNCONFIRMED_STOP_SEEDS = (414, 595)
 """A run whose caller hung up, and whose stop nobody confirmed, counted as nothing."""
+ABANDONED_SEEDS = (20,)
+"""An end was dropped again, as the worker of a run that its owner had given up answered."""
 UNANNOUNCED_SEEDS = (7, 25, 28, 34)
 """Seeds of :func:`make_lost_owner_history` in which the first crash is observed, later ones not."""
 SECOND_CRASH_S = 0.9
@@ -66,3 +68,6 @@
 
     def test_a_stop_that_nobody_confirms_counts(self) -> None:
         self.check(UNCONFIRMED_STOP_SEEDS)
+
+    def test_an_abandoned_run_of_a_suspect_counts(self) -> None:
+        self.check(ABANDONED_SEEDS)
