Tell a peer of crashes on the link that carries its claims

Cause, from the trace: an entry tells a peer what it knows of crashes once its own link to that peer is up. The claims of the new entry go over the link that it has dialled itself, which was up sooner: its claim was granted on the one, before the reports had come on the other.

The reports are sent on the link that the peer has dialled, as it greets there. They precede the responses to its claims on it. There are as many as before.

--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -446,9 +446,6 @@
         self._partitions.record_linked(member)
         # Changes made since the link was opened were sent to greeted entries only.
         self._send_declarations(session)
-        for crashed in self._make_crashes():
-            # A restarted peer may receive a job whose tasks have crashed workers before.
-            session.link.send(crashed)
         log_event(
             "peer:link",
             peer=member.name,
@@ -460,6 +457,10 @@
         self._claims.announce_all()
 
     def _greet_accepted(self, session: PeerSession, member: Member) -> None:
+        for crashed in self._make_crashes():
+            # A restarted peer may receive a job whose tasks have crashed workers before. On this
+            # link they precede the responses to its claims.
+            session.link.send(crashed)
         self._lost_owners.pop(member.incarnation, None)
         self._claims.record_owner_back(member)
         previous = self._accepted.get(member.incarnation)
--- a/tests/histories/test_hidden_crashes.py
+++ b/tests/histories/test_hidden_crashes.py
@@ -16,6 +16,8 @@
 """A run whose caller hung up, and whose stop nobody confirmed, counted as nothing."""
 ABANDONED_SEEDS = (20,)
 """An end was dropped again, as the worker of a run that its owner had given up answered."""
+EARLY_CLAIM_SEEDS = (221,)
+"""An entry that had just started was granted an id before it was told of the ends."""
 UNANNOUNCED_SEEDS = (7, 25, 28, 34)
 """Seeds of :func:`make_lost_owner_history` in which the first crash is observed, later ones not."""
 SECOND_CRASH_S = 0.9
@@ -71,3 +73,6 @@
 
     def test_an_abandoned_run_of_a_suspect_counts(self) -> None:
         self.check(ABANDONED_SEEDS)
+
+    def test_a_peer_tells_of_ends_before_it_grants_an_id(self) -> None:
+        self.check(EARLY_CLAIM_SEEDS)
