--- a/dalemast/core/scheduling/actions.py
+++ b/dalemast/core/scheduling/actions.py
@@ -91,7 +91,7 @@
 class StartTask:
     """Start a task on a worker. ``number`` counts the owner's starts.
 
-    ``is_suspect`` tells that workers have crashed, or may have, while they ran the task.
+    ``has_hidden_end`` tells that the task may have crashed a worker without anybody observing it.
     ``restart_slack_s`` is for how many seconds from now the task can still be restarted with its
     job on time; None if it must not be preempted.
     """
@@ -103,7 +103,7 @@
     expected_s: float
     number: int
     restart_slack_s: float | None = None
-    is_suspect: bool = False
+    has_hidden_end: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dalemast/core/scheduling/dispatching.py
+++ b/dalemast/core/scheduling/dispatching.py
@@ -156,7 +156,7 @@
             expected_s=expected_s * run_factor,
             number=number,
             restart_slack_s=self._preemption.get_restart_slack_s(job, task, now=now),
-            is_suspect=task.is_suspect,
+            has_hidden_end=task.has_hidden_end,
         )
 
 
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -410,17 +410,13 @@
         ]
 
     def _withdraw_start(self, message: RunEnded, worker: str) -> None:
-        """Withdraw at the peers an announced start that does not count as another end.
-
-        It was not executed, or has ended without a crash before any end of the task was hidden.
-        """
+        """Withdraw at the peers an announced start that was not executed."""
         row = message.run
         key = TaskKey(row.step, row.position)
-        if message.reason is EndReason.CRASHED or not self._scheduler.is_suspect(row.job, key):
-            # The crash itself is reported, or the start was not announced.
+        if message.reason not in NEVER_STARTED:
             return
-        has_ended = message.reason not in NEVER_STARTED
-        if has_ended and self._scheduler.has_hidden_end(row.job, key):
+        if not self._scheduler.has_hidden_end(row.job, key):
+            # Its start was not announced.
             return
         if self._scheduler.has_recorded(row.job, key, (worker, row.run)):
             # Another owner's run of this number was executed there.
--- a/dalemast/fleet/entry/job_tracker.py
+++ b/dalemast/fleet/entry/job_tracker.py
@@ -416,12 +416,9 @@
         )
 
     def _announce_starts(self, starts: Iterable[StartTask]) -> None:
-        """Report starts of suspect tasks to other entries before they begin.
-
-        What only this entry and an agent know of a crash is lost if both of them end.
-        """
+        """Report starts of tasks with hidden ends to other entries before they begin."""
         for start in starts:
-            if start.is_suspect:
+            if start.has_hidden_end:
                 self._report_unobserved_end(
                     RunPresumedOver(
                         worker=start.worker,
