Withdraw a lost owner's run once its agent knows that it has only stopped

Cause, from the traces: once a task has an end that was not seen, its owner tells its peers of each further run in advance.

The agent has the worker's word. If the owner of a run has no link any more, it tells all entries that it is linked with that the run has ended without a crash, and they drop it. It says nothing of runs that were lost with their worker (`ReportEnd.is_confirmed`). One message for each run and link after the loss of an owner, none in calm. An entry does not relay a withdrawal as a crash.

--- a/dalemast/core/supervision/actions.py
+++ b/dalemast/core/supervision/actions.py
@@ -52,12 +52,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReportEnd:
-    """Report to an owner how a run ended. ``run_s`` is its observed run time, in seconds."""
+    """Report to an owner how a run ended. ``run_s`` is its observed run time, in seconds.
+
+    ``is_confirmed`` tells that the worker's answers show the end, and not the loss of the worker.
+    """
 
     owner: str
     run_id: RunId
     reason: EndReason
     run_s: float
+    is_confirmed: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dalemast/core/supervision/supervisor.py
+++ b/dalemast/core/supervision/supervisor.py
@@ -631,6 +631,7 @@
                 run_id=run_id,
                 reason=_get_end_reason(run, reason),
                 run_s=0.0,
+                is_confirmed=False,
             )
             for run_id, run in self._runs.items()
         ]
--- a/dalemast/fleet/agent/owners.py
+++ b/dalemast/fleet/agent/owners.py
@@ -33,7 +33,7 @@
     to_row,
 )
 from dalemast.fleet.base import Member
-from dalemast.fleet.crashes import CrashMemory, make_worker_crashed
+from dalemast.fleet.crashes import CrashMemory, make_withdrawal, make_worker_crashed
 from dalemast.fleet.evacuations import EvacuationsInForce
 from dalemast.fleet.frames import (
     AgentHello,
@@ -169,9 +169,10 @@
         self._crashes.record_alive(worker)
 
     def report_end(self, report: ReportEnd) -> None:
-        """Report to the owner how a run ended."""
+        """Report to the owner how a run ended, or to all entries if the owner is lost."""
         session = self._sessions.get(report.owner)
         if session is None:
+            self._withdraw_run(report)
             return
         message = RunEnded(
             run=to_row(report.run_id), reason=report.reason, run_s=round(report.run_s, 4)
@@ -179,6 +180,19 @@
         session.link.send(message)
         self._reports.note_end(session)
 
+    def _withdraw_run(self, report: ReportEnd) -> None:
+        """Report to all entries that a run of a lost owner has ended without a crash.
+
+        The owner may have announced it to its peers as one that may crash its worker.
+        """
+        incarnation = self._supervisor.incarnation
+        if incarnation is None or not report.is_confirmed:
+            return
+        job_id, task, run = report.run_id
+        row = CrashedTask(job_id=job_id, task=task, age_s=None, run=run)
+        for session in self._sessions.values():
+            session.link.send(make_withdrawal(incarnation.id, row))
+
     def report_slow(self, report: ReportSlow) -> None:
         """Report to the owner that a run is slow."""
         session = self._sessions.get(report.owner)
--- a/dalemast/fleet/crashes.py
+++ b/dalemast/fleet/crashes.py
@@ -5,11 +5,19 @@
 from collections import deque
 from collections.abc import Iterable
 
+import msgspec
+
 from dalemast.core.scheduling import CrashedTask, RunPresumedOver
 from dalemast.core.workloads import TaskKey
 from dalemast.fleet.frames import CrashedRow, WorkerCrashed
 
-__all__ = ["CrashMemory", "make_presumed_crashed", "make_worker_crashed", "read_crashed_tasks"]
+__all__ = [
+    "CrashMemory",
+    "make_presumed_crashed",
+    "make_withdrawal",
+    "make_worker_crashed",
+    "read_crashed_tasks",
+]
 
 MAX_CRASHES = 32
 """Maximum number of crashes kept: enough to cover the time for which a caller resubmits a job, also
@@ -77,6 +85,12 @@
     return make_worker_crashed(over.worker, [task], is_observed=False, is_lasting=over.is_lasting)
 
 
+def make_withdrawal(worker: str, task: CrashedTask) -> WorkerCrashed:
+    """Return the message that a run, announced as one that may crash its worker, has not."""
+    announced = make_worker_crashed(worker, [task], is_observed=False)
+    return msgspec.structs.replace(announced, is_withdrawn=True)
+
+
 def read_crashed_tasks(crashed: WorkerCrashed) -> list[CrashedTask]:
     """Return the tasks listed in a message."""
     return [
--- a/dalemast/fleet/entry/agents.py
+++ b/dalemast/fleet/entry/agents.py
@@ -5,8 +5,6 @@
 import math
 from collections.abc import Callable, Iterable
 
-import msgspec
-
 from dalemast import clock
 from dalemast.core.evacuations import Evacuations
 from dalemast.core.scheduling import (
@@ -28,7 +26,7 @@
 from dalemast.core.workloads import Resources, TaskKey
 from dalemast.fleet.address_book import AddressBook, to_row
 from dalemast.fleet.base import Member
-from dalemast.fleet.crashes import make_worker_crashed, read_crashed_tasks
+from dalemast.fleet.crashes import make_withdrawal, make_worker_crashed, read_crashed_tasks
 from dalemast.fleet.entry.agent_sessions import AgentSession
 from dalemast.fleet.entry.routes import PeerRoutes
 from dalemast.fleet.entry.rows import (
@@ -387,7 +385,14 @@
         self._apply(actions)
 
     def _handle_crash(self, message: WorkerCrashed) -> None:
-        """Handle a crash, and notify the peers of the crashed tasks that this entry owns."""
+        """Handle a crash, and notify the peers of the crashed tasks that this entry owns.
+
+        A withdrawal comes from the agent of a run whose owner is lost, and has reached all entries
+        that the agent is linked with.
+        """
+        if message.is_withdrawn:
+            self._record_crash(message, is_relayed=False)
+            return
         own = tuple(row for row in message.tasks if row.job in self._scheduler.open_jobs)
         if own:
             self._notify_peers(
@@ -422,8 +427,7 @@
             # Another owner's run of this number was executed there.
             return
         task = CrashedTask(job_id=row.job, task=key, age_s=None, run=row.run)
-        withdrawn = make_worker_crashed(worker, [task], is_observed=False)
-        self._notify_peers(msgspec.structs.replace(withdrawn, is_withdrawn=True))
+        self._notify_peers(make_withdrawal(worker, task))
 
     def _record_crash(self, message: WorkerCrashed, *, is_relayed: bool) -> None:
         if message.is_withdrawn:
--- a/tests/core/supervision/test_supervisor.py
+++ b/tests/core/supervision/test_supervisor.py
@@ -227,6 +227,7 @@
         self.run_task(make_start())
         (report,) = pick(self.replace_incarnation("i-2"), ReportEnd)
         self.assertIs(EndReason.CRASHED, report.reason)
+        self.assertFalse(report.is_confirmed)
 
     def test_a_late_report_of_an_earlier_incarnation_is_ignored(self) -> None:
         self.replace_incarnation("i-2")
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -6,11 +6,14 @@
 import unittest
 from unittest import mock
 
-from dalemast.core.scheduling import CrashedTask
+from dalemast.core.scheduling import CrashedTask, EndReason
+from dalemast.core.supervision import ReportEnd, RunId
 from dalemast.core.workloads import TaskKey
+from dalemast.fleet.agent.owners import OwnerLinks
 from dalemast.fleet.crashes import (
     MAX_CRASHES,
     CrashMemory,
+    make_withdrawal,
     make_worker_crashed,
     read_crashed_tasks,
 )
@@ -93,23 +96,88 @@
         self.assertEqual([False], [crashed.is_observed for crashed in memory.crashes])
 
 
+def make_agent_links(scheduler: mock.Mock, notify_peers: mock.Mock) -> AgentLinks:
+    links = AgentLinks(
+        member=mock.Mock(),
+        book=mock.Mock(),
+        scheduler=scheduler,
+        evacuations=mock.Mock(),
+        times=mock.Mock(),
+        apply=mock.Mock(),
+        get_checked_at=mock.Mock(),
+        check_pause=mock.Mock(),
+        record_run_end=mock.Mock(),
+        notify_peers=notify_peers,
+    )
+    links.set_routes(mock.Mock())
+    return links
+
+
+class LostOwnerTests(unittest.TestCase):
+    """An agent tells all entries of a run of a lost owner that has ended without a crash.
+
+    Guards against a sound task that is failed for runs which its lost owners had announced.
+    """
+
+    def end_run(self, *, is_confirmed: bool) -> list[WorkerCrashed]:
+        """End a run whose owner has no link; return the messages to another entry."""
+        with mock.patch("dalemast.fleet.agent.owners.OwnerDialling"):
+            links = OwnerLinks(
+                supervisor=mock.Mock(incarnation=mock.Mock(id="i-1")),
+                **dict.fromkeys(
+                    (
+                        "name",
+                        "incarnation",
+                        "data_centre",
+                        "book",
+                        "bounds",
+                        "evacuations",
+                        "times",
+                        "policy",
+                        "metrics",
+                        "start",
+                        "stop",
+                        "handle_capacity_request",
+                        "check_pause",
+                    ),
+                    mock.Mock(),
+                ),
+            )
+        other = mock.Mock()
+        links._sessions["other"] = other
+        report = ReportEnd(
+            owner="lost",
+            run_id=RunId(JOB, TaskKey(0, 1), 3),
+            reason=EndReason.STOPPED,
+            run_s=0.1,
+            is_confirmed=is_confirmed,
+        )
+        links.report_end(report)
+        return [call.args[0] for call in other.link.send.call_args_list]
+
+    def test_a_confirmed_end_is_withdrawn(self) -> None:
+        (message,) = self.end_run(is_confirmed=True)
+        self.assertTrue(message.is_withdrawn)
+        self.assertEqual(("i-1", [3]), (message.worker, [row.run for row in message.tasks]))
+
+    def test_an_end_with_its_worker_is_not_withdrawn(self) -> None:
+        self.assertEqual([], self.end_run(is_confirmed=False))
+
+
 class OwnerNotificationTests(unittest.TestCase):
+    def test_a_withdrawal_by_an_agent_is_not_relayed_as_a_crash(self) -> None:
+        scheduler = mock.Mock(open_jobs={JOB: None})
+        links = make_agent_links(scheduler, notify_peers := mock.Mock())
+        row = CrashedTask(job_id=JOB, task=TaskKey(0, 0), age_s=None, run=3)
+        links.handle_message(mock.Mock(), make_withdrawal("i-1", row))
+        notify_peers.assert_not_called()
+        scheduler.note_crash.assert_not_called()
+        scheduler.withdraw_crash.assert_called_once_with("i-1", [row])
+
     def test_an_owner_notifies_its_peers_of_its_own_tasks(self) -> None:
         scheduler = mock.Mock(open_jobs={JOB: None})
         notify_peers = mock.Mock()
-        links = AgentLinks(
-            member=mock.Mock(),
-            book=mock.Mock(),
-            scheduler=scheduler,
-            evacuations=mock.Mock(),
-            times=mock.Mock(),
-            apply=mock.Mock(),
-            get_checked_at=mock.Mock(),
-            check_pause=mock.Mock(),
-            record_run_end=mock.Mock(),
-            notify_peers=notify_peers,
-        )
-        links.set_routes(mock.Mock())
+        links = make_agent_links(scheduler, notify_peers)
         rows = [
             CrashedTask(job_id=job_id, task=TaskKey(0, 0), age_s=0.25) for job_id in (JOB, "other")
         ]
--- a/tests/histories/test_hidden_crashes.py
+++ b/tests/histories/test_hidden_crashes.py
@@ -12,6 +12,8 @@
 """A start that the worker ignored counted as a run that may have crashed it."""
 RUNS_ON_ONE_INCARNATION_SEEDS = (592,)
 """A run that was stopped and one that crashed the same incarnation counted as one end."""
+LOST_OWNERS_SEEDS = (718, 2306)
+"""A sound job failed for runs that its lost owners had announced, and that were only stopped."""
 UNCONFIRMED_STOP_SEEDS = (414, 595)
 """A run whose caller hung up, and whose stop nobody confirmed, counted as nothing."""
 ABANDONED_SEEDS = (20,)
@@ -70,6 +72,9 @@
                 make_lost_owner_history(seed, killed_at_s=SECOND_CRASH_S, hidden_share=0.8)
             )
 
+    def test_stopped_runs_of_lost_owners_do_not_count(self) -> None:
+        self.check(LOST_OWNERS_SEEDS)
+
     def test_a_stop_that_nobody_confirms_counts(self) -> None:
         self.check(UNCONFIRMED_STOP_SEEDS)
 
