Count a run that was stopped as a start, not as an end of its worker

Cause, from its trace: of the four counted ends one was a run that had been moved for slowness 2.2 s after its start, and that its agent reported as stopped. Its worker had answered, so that it can't be a crash that nobody saw. It is a start, of which the platform allows five.

Such runs count towards MAX_STARTS, five, and no longer towards the four ends. What peers were told of in advance counts as an end with them, as before. The test that a stopped run counts asks for five starts at most, the figure that it had until the limit changed.

Before: test_news breaks. After: it holds, as do tests/core/scheduling, test_hidden_crashes and test_crashing_tasks.

--- a/dalemast/core/scheduling/crashes.py
+++ b/dalemast/core/scheduling/crashes.py
@@ -10,7 +10,8 @@
 
 A worker that is unresponsive may have crashed or only be disconnected. Such an end is unconfirmed,
 and is dropped when the incarnation reports again. An end is also unconfirmed for a task that may
-not have started before it. A task is given up after ``MAX_ENDS`` ends of both kinds.
+not have started before it. A task is given up after ``MAX_ENDS`` ends of both kinds, or
+``MAX_STARTS`` with the runs that were stopped since its first unconfirmed end.
 
 Agents report the ends of incarnations to all entries, which keep them by job id. Reports may arrive
 repeatedly and in any order. A confirmed crash is kept while the job is open and for a while after,
@@ -34,8 +35,11 @@
 MAX_CRASHES = 3
 """Number of confirmed crashes after which a task is given up."""
 MAX_ENDS = 4
-"""Number of ends, confirmed or not, after which a task is given up. One less than the platform
-allows starts of a task that crashes its workers: one end may be lost with all who knew of it."""
+"""Number of ends, confirmed or not, after which a task is given up. One less than
+:data:`MAX_STARTS`: one end may be lost with all who knew of it."""
+MAX_STARTS = 5
+"""Number of ends and stopped runs after which a task is given up: the platform allows as many
+starts of a task that crashes its workers."""
 SAME_AGE_S = 0.1
 """Maximum difference of the ages at two crashes that count as alike, in seconds. Agents detect a
 crash some 35 ms later, give or take a poll that is under way."""
@@ -71,6 +75,8 @@
     is_observed: bool = True
     has_begun: bool = True
     is_lasting: bool = False
+    is_stopped: bool = False
+    """Whether the run is known to have been stopped without a crash. It was a start all the same."""
     recorded_at: float = field(default=float("-inf"), compare=False)
     """When the end was first recorded here."""
 
@@ -179,7 +185,10 @@
         """Return whether a task should be given up."""
         ends = self.get(job_id, task)
         crashes = [end for end in ends if end.is_confirmed]
-        if len(crashes) >= MAX_CRASHES or len(ends) >= MAX_ENDS:
+        stopped = [end for end in ends if end.is_stopped]
+        if len(crashes) >= MAX_CRASHES or len(ends) >= MAX_STARTS:
+            return True
+        if len(ends) - len(stopped) >= MAX_ENDS:
             return True
         return _are_two_ages_alike(crashes)
 
@@ -199,7 +208,7 @@
                         run=crash.run,
                         has_begun=crash.has_begun,
                     )
-                    end = replace(crash, age_s=None, run=0, has_begun=True)
+                    end = replace(crash, age_s=None, run=0, has_begun=True, is_stopped=False)
                     rows.setdefault(end, []).append(row)
         return rows
 
--- a/dalemast/core/scheduling/scheduler.py
+++ b/dalemast/core/scheduling/scheduler.py
@@ -625,7 +625,7 @@
         """
         if reason in NEVER_STARTED or not task.has_hidden_end:
             return []
-        self._record_unobserved(job.request.id, [task], now)
+        self._record_unobserved(job.request.id, [task], now, is_stopped=True)
         return self._check_crashes(job, now)
 
     def _handle_unfinished(self, job: Job, task: Task, reason: EndReason) -> None:
@@ -680,7 +680,13 @@
             self._update_suspects(self._jobs[job_id])
 
     def _record_unobserved(
-        self, job_id: str, tasks: Iterable[Task], now: float, *, lost_s: float = 0.0
+        self,
+        job_id: str,
+        tasks: Iterable[Task],
+        now: float,
+        *,
+        lost_s: float = 0.0,
+        is_stopped: bool = False,
     ) -> list[RunPresumedOver]:
         """Record the runs of tasks whose outcome will not be reported as unobserved crashes.
 
@@ -704,6 +710,7 @@
                 age_s=None,
                 is_observed=False,
                 is_lasting=over.is_lasting,
+                is_stopped=is_stopped,
             )
             self._crashes.record(job_id, over.task, crash, now=now)
         return presumed
