--- a/dalemast/core/scheduling/crashes.py
+++ b/dalemast/core/scheduling/crashes.py
@@ -76,7 +76,7 @@
     has_begun: bool = True
     is_lasting: bool = False
     is_stopped: bool = False
-    """Whether the run is known to have been stopped without a crash; it was a start all the same."""
+    """Whether the run is known to have been stopped without a crash; it still was a start."""
     recorded_at: float = field(default=float("-inf"), compare=False)
     """When the end was first recorded here."""
 
