--- a/dalemast/core/ownership/claims.py
+++ b/dalemast/core/ownership/claims.py
@@ -9,7 +9,7 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ["Claims", "Granted", "Held", "Withheld"]
+__all__ = ["Cancelled", "Claims", "Granted", "Held", "Withheld"]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -38,47 +38,59 @@
     until: float | None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cancelled:
+    """The job was cancelled, so its id is granted to nobody."""
+
+
 class Claims:
     """Claims by job id. Owners are identified by their incarnation.
 
     An id may have several owners: one to which it was granted here, and others that report a grant
     by another entry. It is free once each of them has released it or has lapsed. Times are readings
-    of a steady clock, in seconds.
+    of a steady clock, in seconds. Queues are named; an empty name means that the queue is unknown.
     """
 
     def __init__(self, *, lapse_s: float) -> None:
         self._lapse_s = lapse_s
-        self._owners: dict[str, set[str]] = {}
+        self._owners: dict[str, dict[str, str]] = {}
+        """For each id, the queue of the job that each owner has under it."""
         self._lost: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._owners)
 
-    def claim(self, job_id: str, owner: str, *, now: float) -> Granted | Held:
+    def claim(self, job_id: str, owner: str, *, now: float, queue: str = "") -> Granted | Held:
         """Claim an id for an owner. A claim that the owner alone already holds is granted again."""
         held = self.find_other(job_id, owner, now=now)
         if held is not None:
             return held
-        self._owners[job_id] = {owner}
+        self._owners[job_id] = {owner: queue}
         return Granted()
 
-    def record_reported(self, job_id: str, owner: str) -> bool:
+    def record_reported(self, job_id: str, owner: str, *, queue: str = "") -> bool:
         """Record that an owner reports that it holds an id; return whether that is new."""
-        owners = self._owners.setdefault(job_id, set())
+        owners = self._owners.setdefault(job_id, {})
         is_news = owner not in owners
-        owners.add(owner)
+        owners[owner] = queue or owners.get(owner, "")
         return is_news
 
-    def find_other(self, job_id: str, owner: str, *, now: float) -> Held | None:
-        """Return another owner's claim on an id, or None. Of several, return the last to lapse."""
-        others = self._owners.get(job_id, set()) - {owner}
-        held = [Held(owner=other, free_at=self._get_free_at(other)) for other in sorted(others)]
+    def find_other(self, job_id: str, owner: str, *, now: float, queue: str = "") -> Held | None:
+        """Return another owner's claim on an id, or None. Of several, return the last to lapse.
+
+        If a queue is given, claims that are known to be for jobs of other queues are left out.
+        """
+        held = [
+            Held(owner=other, free_at=self._get_free_at(other))
+            for other, other_queue in sorted(self._owners.get(job_id, {}).items())
+            if other != owner and (not queue or other_queue in ("", queue))
+        ]
         return max((row for row in held if _get_end(row) > now), key=_get_end, default=None)
 
     def release(self, job_id: str, owner: str) -> None:
         """Release an owner's claim, once none of the job's tasks runs any more."""
-        owners = self._owners.get(job_id, set())
-        owners.discard(owner)
+        owners = self._owners.get(job_id, {})
+        owners.pop(owner, None)
         if not owners:
             self._owners.pop(job_id, None)
 
@@ -95,7 +107,10 @@
         gone = {owner for owner, at in self._lost.items() if now >= at + self._lapse_s}
         if not gone:
             return
-        left = {job_id: owners - gone for job_id, owners in self._owners.items()}
+        left = {
+            job_id: {owner: queue for owner, queue in owners.items() if owner not in gone}
+            for job_id, owners in self._owners.items()
+        }
         self._owners = {job_id: owners for job_id, owners in left.items() if owners}
         for owner in gone:
             del self._lost[owner]
--- a/dalemast/core/workloads/__init__.py
+++ b/dalemast/core/workloads/__init__.py
@@ -2,6 +2,7 @@
 
 from dalemast.core.workloads.base import JobRequest, Resources, StepRequest, TaskKey
 from dalemast.core.workloads.exceptions import (
+    CancelNotConfirmed,
     JobGivenUp,
     JobNotSupported,
     JobNotTaken,
@@ -12,6 +13,7 @@
 from dalemast.core.workloads.queues import Queue, QueueTable
 
 __all__ = [
+    "CancelNotConfirmed",
     "JobGivenUp",
     "JobNotSupported",
     "JobNotTaken",
--- a/dalemast/core/workloads/exceptions.py
+++ b/dalemast/core/workloads/exceptions.py
@@ -6,6 +6,7 @@
 from dalemast.core.verdicts import Run
 
 __all__ = [
+    "CancelNotConfirmed",
     "JobGivenUp",
     "JobNotSupported",
     "JobNotTaken",
@@ -62,3 +63,12 @@
     status = 502
     hint = "Submit it again with the same id: it never runs twice at the same time."
     default_run = Run.MAY_HAVE_RUN
+
+
+class CancelNotConfirmed(DalemastError):
+    """The job may still be running at an entry that did not answer the request to cancel it."""
+
+    code = "E2007"
+    status = 503
+    hint = "Send the request again after the time given, to any entry."
+    default_run = Run.MAY_HAVE_RUN
--- a/dalemast/fleet/base.py
+++ b/dalemast/fleet/base.py
@@ -30,12 +30,16 @@
     "BaseMemberStore",
     "BaseRegistration",
     "BaseWorkerDriver",
+    "CancelOutcome",
+    "CancelUnconfirmed",
     "Configuration",
     "DeclarationObserver",
+    "JobCancelled",
     "JobDone",
     "JobDropped",
     "JobOutcome",
     "JobRejected",
+    "JobUnknown",
     "Jobs",
     "PollResult",
     "Member",
@@ -86,7 +90,28 @@
     cause: str
 
 
-JobOutcome = JobDone | JobRejected | JobDropped
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobCancelled:
+    """The caller has cancelled the job, none of whose tasks will be started any more."""
+
+
+JobOutcome = JobDone | JobRejected | JobDropped | JobCancelled
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobUnknown:
+    """No entry has the job to cancel. A submission that arrives later is answered as cancelled."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CancelUnconfirmed:
+    """The job may go on at an entry that did not answer; the request may be repeated."""
+
+    cause: str
+    retry_after_s: float
+
+
+CancelOutcome = JobCancelled | JobUnknown | CancelUnconfirmed
 
 
 class Jobs(Protocol):
@@ -107,6 +132,12 @@
     async def run(self, request: JobRequest) -> JobOutcome:
         """Run a job and return its outcome."""
 
+    async def cancel(self, *, queue: Queue, job_id: str, timeout_s: float) -> CancelOutcome:
+        """Cancel a job of a queue, whichever entry has it.
+
+        ``timeout_s`` is how long the caller waits for the answer, in seconds.
+        """
+
     def handle_disconnect(self, job_id: str) -> None:
         """Handle that the caller of a job has closed its connection."""
 
--- a/dalemast/fleet/entry/claims.py
+++ b/dalemast/fleet/entry/claims.py
@@ -1,4 +1,8 @@
-"""Claims on job ids: those of this entry, and those that it keeps as the home of other ids."""
+"""Claims on job ids: those of this entry, and those that it keeps as the home of other ids.
+
+A job is cancelled by a claim, too: it finds the entry that has the job, which stops it. The keepers
+of the claim then keep the id as cancelled, so that no later claim for the job is granted.
+"""
 
 from __future__ import annotations
 
@@ -9,11 +13,12 @@
     Iterable,
     Mapping,
 )
-from dataclasses import dataclass
 from typing import Protocol
 
 from dalemast import clock
 from dalemast.core.ownership import (
+    Cancelled,
+    CancelledIds,
     Claims,
     Granted,
     Held,
@@ -21,6 +26,12 @@
     choose_home,
 )
 from dalemast.fleet.base import Member
+from dalemast.fleet.entry.claim_requests import (
+    ClaimRequest,
+    PendingClaim,
+    find_refusal,
+    is_granted,
+)
 from dalemast.fleet.entry.peer_sessions import PeerSession
 from dalemast.fleet.frames import (
     Claim,
@@ -47,6 +58,12 @@
 """How long a peer that was lost without a goodbye may still be running and keeping claims.
 Meanwhile the ids whose home it may be are claimed at all reachable peers. The same time bounds how
 long an entry waits for the greetings of all known peers before it grants ids without them."""
+CANCELLED_KEPT_S = 60.0
+"""How long the id of a cancelled job is kept. Longer than a submission can be delayed by a paused
+process or by a network partition in which no id is granted twice."""
+MAX_CANCELLED_IDS = 4096
+"""Maximum number of cancelled ids that an entry keeps. It bounds their memory, and the messages in
+which they are announced when the reachable entries change."""
 
 
 class OwnJobs(Protocol):
@@ -61,9 +78,15 @@
     def is_active(self, job_id: str) -> bool:
         """Return whether a job's id is granted and the job is not being stopped."""
 
+    def get_queue(self, job_id: str) -> str:
+        """Return the name of the queue of an open job, or an empty string if it is unknown."""
+
     def yield_job(self, job_id: str) -> None:
         """Stop a job that was submitted to another entry, and release its id once it has ended."""
 
+    def cancel_job(self, job_id: str, *, queue: str) -> bool:
+        """Stop a cancelled job of this queue like :meth:`yield_job`; return whether it was open."""
+
 
 class PeerSearch(Protocol):
     """What agents report about entries with which this one has no link."""
@@ -121,6 +144,7 @@
         self._lapse_s = lapse_s
         self._peer_claims = Claims(lapse_s=lapse_s)
         """Claims of peers. Those of this entry follow from its jobs."""
+        self._cancelled_ids = CancelledIds(max_ids=MAX_CANCELLED_IDS)
         self._dialled = dialled
         self._accepted = accepted
         self._has_all_greetings = has_all_greetings
@@ -143,8 +167,33 @@
         """Whether a lost peer may still be running, and thus may have granted ids since."""
         return bool(self._list_lost_peers())
 
-    async def claim(self, job_id: str) -> Granted | Held | Withheld:
+    @property
+    def cancelled_count(self) -> int:
+        """The number of cancelled ids that are kept here."""
+        return len(self._cancelled_ids)
+
+    def is_cancelled(self, job_id: str, *, queue: str) -> bool:
+        """Return whether a job of a queue is known to be cancelled."""
+        return self._cancelled_ids.contains(queue, job_id, now=clock.monotonic())
+
+    async def claim(self, job_id: str, *, queue: str = "") -> Granted | Held | Withheld | Cancelled:
         """Claim an id at its keepers, including those that become reachable in the meantime."""
+        if self.is_cancelled(job_id, queue=queue):
+            return Cancelled()
+        return await self._send_request(ClaimRequest(job_id=job_id, queue=queue))
+
+    async def cancel(self, job_id: str, *, queue: str) -> Granted | Held | Withheld | Cancelled:
+        """Cancel a job of a queue, and ask its owner to stop it.
+
+        The result is :class:`Granted` once no entry has the job, and all that may be asked about
+        its id know that it is cancelled.
+        """
+        self._keep_cancelled(job_id, queue, CANCELLED_KEPT_S)
+        request = ClaimRequest(job_id=job_id, queue=queue, cancelled_for_s=CANCELLED_KEPT_S)
+        return await self._send_request(request)
+
+    async def _send_request(self, request: ClaimRequest) -> Granted | Held | Withheld | Cancelled:
+        job_id = request.job_id
         withheld = self._find_withheld(job_id)
         if withheld is not None:
             return withheld
@@ -154,8 +203,8 @@
         is_uncertain = not self._knows_all_claims()
         while missing := self._find_keepers(job_id, is_uncertain=is_uncertain) - granted_by:
             timeout_s = ALL_PEERS_TIMEOUT_S if is_uncertain else CLAIM_TIMEOUT_S
-            responses = await self._send_claims(missing, job_id, timeout_s)
-            refusal = _find_refusal(responses.values())
+            responses = await self._send_claims(missing, request, timeout_s)
+            refusal = find_refusal(responses.values())
             if refusal is not None:
                 return refusal
             unanswered = {session for session, response in responses.items() if response is None}
@@ -166,10 +215,10 @@
                 # A peer can reach the home of the id, and this entry can't.
                 log_event("claim:home-out-of-reach", job=job_id, homes=sorted(homes))
                 return Held(owner="", free_at=None)
-            is_uncertain = is_uncertain or not all(map(_is_granted, responses.values()))
+            is_uncertain = is_uncertain or not all(map(is_granted, responses.values()))
             is_uncertain = is_uncertain or bool(homes)
             granted_by |= missing - unanswered
-        held = self._find_holder(job_id)
+        held = self._find_holder(request)
         if held is None and self._may_be_held_by_unlinked_peer(job_id, is_uncertain=is_uncertain):
             return Held(owner="", free_at=None)
         return held or self._find_withheld(job_id) or Granted()
@@ -185,14 +234,28 @@
         """Grant or refuse a peer's claim. An owner of the same id is asked to yield it."""
         if session.member is None:
             return
+        request = ClaimRequest(
+            job_id=claim.job, queue=claim.queue, cancelled_for_s=claim.cancelled_for_s
+        )
+        is_stopped = request.is_cancelling and self._keep_cancelled(
+            claim.job, claim.queue, claim.cancelled_for_s
+        )
         if not claim.number:
-            self._apply_announced_claim(session, session.member, claim.job)
+            if not request.is_cancelling:
+                self._apply_announced_claim(session, session.member, request)
             return
-        result = self._grant(claim.job, session.member.incarnation)
+        result = self._grant(request, session.member.incarnation)
+        if is_stopped:
+            # Tells the peer that there was a job, also if it had no runs to wait for.
+            result = Held(owner=self._member.incarnation, free_at=None)
         if isinstance(result, Granted):
             home = self._find_third_home(claim.job, session.member.name)
             session.link.send(ClaimResponse(number=claim.number, is_granted=True, home=home))
             return
+        if isinstance(result, Cancelled):
+            refusal = ClaimResponse(number=claim.number, is_granted=False, is_cancelled=True)
+            session.link.send(refusal)
+            return
         lapses_in_s = -1.0 if result.free_at is None else result.free_at - clock.monotonic()
         session.link.send(
             ClaimResponse(
@@ -215,13 +278,16 @@
             self._peer_claims.release(release.job, session.member.incarnation)
 
     def handle_yield(self, session: PeerSession, message: Yield) -> None:
-        """Yield a job that was submitted to another entry.
+        """Stop a job that was submitted to another entry or cancelled.
 
         If the id is not open here, its release was lost. The release is sent again on the link that
         carries this entry's claims, so that it can't overtake a new claim.
         """
-        if self._own_jobs.has_open(message.job):
+        if message.cancelled_queue:
+            self._keep_cancelled(message.job, message.cancelled_queue, CANCELLED_KEPT_S)
+        elif self._own_jobs.has_open(message.job):
             self._own_jobs.yield_job(message.job)
+        if self._own_jobs.has_open(message.job):
             return
         own = None if session.member is None else self._dialled.get(session.member.name)
         if own is not None:
@@ -232,7 +298,8 @@
         if session.member is None:
             return
         for job_id in job_ids:
-            self._apply_announced_claim(session, session.member, job_id)
+            request = ClaimRequest(job_id=job_id, queue="")
+            self._apply_announced_claim(session, session.member, request)
 
     def record_greeting(self, session: PeerSession) -> None:
         """Record that a peer has received the claims that this entry announced in its greeting.
@@ -278,14 +345,27 @@
         self._started_at = clock.monotonic()
 
     def announce_all(self) -> None:
-        """Announce this entry's claims to their keepers after the reachable peers have changed."""
+        """Announce claims and cancelled ids to keepers after the reachable peers have changed."""
         for job_id in self._own_jobs.get_claimed_ids():
+            request = ClaimRequest(job_id=job_id, queue=self._own_jobs.get_queue(job_id))
             for session in self._find_keepers(job_id, is_uncertain=False):
-                self._send_claim(session, job_id, number=0)
+                self._send_claim(session, request, number=0)
+        for request in self._list_cancelled():
+            for session in self._find_keepers(request.job_id, is_uncertain=False):
+                session.link.send(request.make_message(0))
+
+    def announce_cancelled(self, session: PeerSession) -> None:
+        """Announce all cancelled ids on a new link, together with the greeting.
+
+        Once the peer knows the claims of this entry it may grant ids, but not cancelled ones.
+        """
+        for request in self._list_cancelled():
+            session.link.send(request.make_message(0))
 
     def sweep(self, now: float) -> None:
-        """Remove the claims of owners that are gone, and peers that are no longer suspected."""
+        """Remove claims of owners that are gone, and what is no longer suspected or kept."""
         self._peer_claims.sweep(now=now)
+        self._cancelled_ids.sweep(now=now)
         self._suspected_until = {
             name: until for name, until in self._suspected_until.items() if now < until
         }
@@ -339,10 +419,10 @@
         return [name for name in lost if name not in self._dialled]
 
     async def _send_claims(
-        self, sessions: Iterable[PeerSession], job_id: str, timeout_s: float
+        self, sessions: Iterable[PeerSession], request: ClaimRequest, timeout_s: float
     ) -> dict[PeerSession, ClaimResponse | None]:
         """Send a claim on each link; return the responses by link, None where there was none."""
-        claims = {session: self._send_pending_claim(session, job_id) for session in sessions}
+        claims = {session: self._send_pending_claim(session, request) for session in sessions}
         await asyncio.wait([claim.response for claim in claims.values()], timeout=timeout_s)
         for number in [
             number for number, claim in self._pending.items() if claim in claims.values()
@@ -351,49 +431,96 @@
         responses = {session: claim.get_response() for session, claim in claims.items()}
         for session, response in responses.items():
             if response is None:
-                log_event("claim:unanswered", job=job_id, home=session.name)
+                log_event("claim:unanswered", job=request.job_id, home=session.name)
         return responses
 
-    def _send_pending_claim(self, session: PeerSession, job_id: str) -> PendingClaim:
+    def _send_pending_claim(self, session: PeerSession, request: ClaimRequest) -> PendingClaim:
         number = next(self._numbers)
         pending = PendingClaim(session=session, response=asyncio.get_running_loop().create_future())
         self._pending[number] = pending
-        self._send_claim(session, job_id, number=number)
+        self._send_claim(session, request, number=number)
         return pending
 
-    def _send_claim(self, session: PeerSession, job_id: str, *, number: int) -> None:
+    def _send_claim(self, session: PeerSession, request: ClaimRequest, *, number: int) -> None:
         """Send a claim. Number 0 announces a granted one, which needs no response."""
-        if session.member is not None:
-            self._claim_recipients.setdefault(job_id, set()).add(session.member.name)
-        session.link.send(Claim(number=number, job=job_id))
+        if session.member is not None and not request.is_cancelling:
+            recipients = self._claim_recipients.setdefault(request.job_id, set())
+            recipients.add(session.member.name)
+        session.link.send(request.make_message(number))
+
+    def _keep_cancelled(self, job_id: str, queue: str, for_s: float) -> bool:
+        """Keep an id as cancelled, and stop the job if it is open here; return whether it was."""
+        until = clock.monotonic() + min(for_s, CANCELLED_KEPT_S)
+        self._cancelled_ids.add(queue, job_id, until=until)
+        return self._own_jobs.cancel_job(job_id, queue=queue)
+
+    def _list_cancelled(self) -> list[ClaimRequest]:
+        """Return the requests that announce the cancelled ids."""
+        now = clock.monotonic()
+        return [
+            ClaimRequest(job_id=kept.job_id, queue=kept.queue, cancelled_for_s=kept.until - now)
+            for kept in self._cancelled_ids
+            if kept.until > now
+        ]
 
-    def _find_holder(self, job_id: str) -> Held | None:
+    def _find_holder(self, request: ClaimRequest) -> Held | None:
         """Return the peer that owns an id by the claims kept here, and ask it to yield the id."""
-        held = self._peer_claims.find_other(job_id, self._member.incarnation, now=clock.monotonic())
+        held = self._find_other(request, self._member.incarnation)
         if held is not None:
-            self._request_yield(job_id, held.owner)
+            self._request_yield(request, held.owner)
         return held
 
-    def _grant(self, job_id: str, owner: str) -> Granted | Held:
+    def _find_other(self, request: ClaimRequest, claimant: str) -> Held | None:
+        """Return the claim of another owner that prevents a request from being granted."""
+        return self._peer_claims.find_other(
+            request.job_id, claimant, now=clock.monotonic(), queue=request.cancelled_queue
+        )
+
+    def _grant(self, request: ClaimRequest, owner: str) -> Granted | Held | Cancelled:
         """Grant an id to a peer, or ask its owner to yield it."""
-        if self._own_jobs.has_open(job_id):
+        job_id = request.job_id
+        if not request.is_cancelling and self.is_cancelled(job_id, queue=request.queue):
+            return Cancelled()
+        if self._is_held_here(request):
             self._own_jobs.yield_job(job_id)
             return Held(owner=self._member.incarnation, free_at=None)
         withheld = self._find_withheld(job_id)
         if withheld is not None:
             return Held(owner=UNKNOWN_OWNER, free_at=withheld.until)
-        result = self._peer_claims.claim(job_id, owner, now=clock.monotonic())
-        if isinstance(result, Held):
-            self._request_yield(job_id, result.owner)
-        elif not self._knows_all_claims():
+        held = self._find_other(request, owner)
+        if held is not None:
+            self._request_yield(request, held.owner)
+            return held
+        if not request.is_cancelling:
+            self._peer_claims.claim(job_id, owner, now=clock.monotonic(), queue=request.queue)
+        if not self._knows_all_claims():
             # Claims of peers that have not sent a greeting are unknown here. The refusal names no
             # owner, which makes the peer send its claim to all entries.
             return Held(owner="", free_at=self._started_at + SUSPECT_S)
-        return result
+        return Granted()
+
+    def _is_held_here(self, request: ClaimRequest) -> bool:
+        """Return whether a job of this entry prevents a peer's request from being granted.
+
+        A request to cancel a job does not concern another queue's job with the same id.
+        """
+        if not self._own_jobs.has_open(request.job_id):
+            return False
+        queue = self._own_jobs.get_queue(request.job_id)
+        return not request.is_cancelling or queue in ("", request.queue)
 
-    def _apply_announced_claim(self, session: PeerSession, member: Member, job_id: str) -> None:
-        """Keep a claim that a peer announces. Ask the peer to yield if the id has another owner."""
-        is_new = self._peer_claims.record_reported(job_id, member.incarnation)
+    def _apply_announced_claim(
+        self, session: PeerSession, member: Member, request: ClaimRequest
+    ) -> None:
+        """Keep a claim that a peer announces. Ask the peer to yield if the id has another owner.
+
+        A job that was cancelled in the meantime has to be stopped by its owner.
+        """
+        job_id, queue = request.job_id, request.queue
+        is_new = self._peer_claims.record_reported(job_id, member.incarnation, queue=queue)
+        if queue and self.is_cancelled(job_id, queue=queue):
+            session.link.send(Yield(job=job_id, cancelled_queue=queue))
+            return
         held = self._peer_claims.find_other(job_id, member.incarnation, now=clock.monotonic())
         if is_new and (held is not None or self._own_jobs.is_active(job_id)):
             session.link.send(Yield(job=job_id))
@@ -408,34 +535,8 @@
         """Return whether all known peers have announced their claims, or have had time enough."""
         return clock.monotonic() - self._started_at >= SUSPECT_S or self._has_all_greetings()
 
-    def _request_yield(self, job_id: str, owner: str) -> None:
+    def _request_yield(self, request: ClaimRequest, owner: str) -> None:
         holder = self._accepted.get(owner)
         if holder is not None:
-            holder.link.send(Yield(job=job_id))
-
-
-@dataclass(frozen=True, kw_only=True, slots=True, eq=False)
-class PendingClaim:
-    """A claim that waits for its response. The response is None if the link has ended."""
-
-    session: PeerSession
-    response: asyncio.Future[ClaimResponse | None]
-
-    def get_response(self) -> ClaimResponse | None:
-        """Return the response if there is one."""
-        return self.response.result() if self.response.done() else None
-
-
-def _is_granted(response: ClaimResponse | None) -> bool:
-    return response is not None and response.is_granted
-
-
-def _find_refusal(responses: Iterable[ClaimResponse | None]) -> Held | None:
-    """Return the first refusal that names another owner."""
-    for response in responses:
-        if response is not None and not response.is_granted and response.holder:
-            free_at = (
-                clock.monotonic() + response.lapses_in_s if response.lapses_in_s >= 0 else None
-            )
-            return Held(owner=response.holder, free_at=free_at)
-    return None
+            message = Yield(job=request.job_id, cancelled_queue=request.cancelled_queue)
+            holder.link.send(message)
--- a/dalemast/fleet/entry/job_tracker.py
+++ b/dalemast/fleet/entry/job_tracker.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from dalemast import clock
-from dalemast.core.ownership import Granted, Held, Withheld
+from dalemast.core.ownership import Cancelled, Granted, Withheld
 from dalemast.core.scheduling import (
     Action,
     Forecast,
@@ -25,11 +26,13 @@
 )
 from dalemast.core.workloads import JobRequest, TaskKey
 from dalemast.fleet.base import (
+    JobCancelled,
     JobDone,
     JobDropped,
     JobOutcome,
     JobRejected,
 )
+from dalemast.fleet.entry.claim_retries import ClaimResult, ClaimRetries
 from dalemast.fleet.entry.unfinished_runs import UnfinishedRuns
 from dalemast.fleet.frames import RunEnded
 from dalemast.fleet.timing import FleetTimes
@@ -50,6 +53,7 @@
 ISOLATED_RETRY_S = 0.1
 """Retry delay for callers whose queued job was rejected because this entry is isolated. The load
 balancer routes their new connections to another entry once this one is not ready."""
+CANCELLED_CAUSE = "cancelled"
 UNCONFIRMED_CAUSE = "nobody could say whether its id is free"
 UNCONFIRMED_RETRY_S = 0.1
 """Retry delay for callers whose job id could not be confirmed within :data:`CLAIM_WAIT_S`."""
@@ -58,8 +62,11 @@
 class ClaimManager(Protocol):
     """Claims and releases job ids."""
 
-    async def claim(self, job_id: str) -> Granted | Held | Withheld:
-        """Claim an id for this entry."""
+    async def claim(self, job_id: str, *, queue: str) -> ClaimResult:
+        """Claim the id of a queue's job for this entry."""
+
+    def is_cancelled(self, job_id: str, *, queue: str) -> bool:
+        """Return whether a job of a queue is known to be cancelled."""
 
     def release(self, job_id: str) -> None:
         """Release an id of this entry."""
@@ -112,7 +119,7 @@
         self._check_pause = check_pause
         self._claims: ClaimManager | None = None
         self._ticked_at = clock.monotonic()
-        self._pause_count = 0
+        self._claim_retries = ClaimRetries(check_pause=check_pause)
         self._open: dict[str, TrackedJob] = {}
         self._unfinished_runs = UnfinishedRuns(
             lost_run_s=times.lost_run_s,
@@ -145,6 +152,18 @@
         job = self._open.get(job_id)
         return job is not None and job.is_submitted
 
+    def is_open(self, job_id: str, queue: str) -> bool:
+        """Return whether a queue's job is open here and not being stopped."""
+        return bool(queue) and self.get_queue(job_id) == queue
+
+    def get_queue(self, job_id: str) -> str:
+        """Return the name of the queue of an open job, or an empty string if it is unknown.
+
+        It is unknown once the job is being stopped.
+        """
+        job = self._open.get(job_id)
+        return "" if job is None else job.request.queue.name
+
     async def run(self, request: JobRequest) -> JobOutcome:
         """Run a job to its end.
 
@@ -152,6 +171,8 @@
         is answered as dropped.
         """
         now = clock.monotonic()
+        if self._is_cancelled(request):
+            return self._refuse_cancelled(request)
         earlier = self._open.get(request.id)
         if earlier is not None:
             earlier.resolve(JobDropped(cause="submitted again"))
@@ -183,6 +204,16 @@
         """Cancel a job that was submitted to another entry."""
         self._drop(job_id, "submitted elsewhere")
 
+    def cancel_job(self, job_id: str, *, queue: str) -> bool:
+        """Stop a job that its caller has cancelled, and answer its submission with that.
+
+        Return whether a job of this queue was open here.
+        """
+        is_open = self.is_open(job_id, queue)
+        if is_open:
+            self._drop(job_id, CANCELLED_CAUSE, outcome=JobCancelled())
+        return is_open
+
     def apply(self, actions: list[Action]) -> None:
         """Carry out the scheduler's actions."""
         if not actions:
@@ -253,7 +284,7 @@
         Queued jobs are rejected too if the pause was long enough for claims to lapse, since their
         ids may have been granted to other entries.
         """
-        self._pause_count += 1
+        self._claim_retries.note_pause()
         may_have_lapsed = now - self._ticked_at >= self._times.lost_run_s
         queued_outcome = JobRejected(cause=PAUSED_CAUSE, retry_after_s=PAUSED_RETRY_S)
         self._abandon(PAUSED_CAUSE, queued_outcome=queued_outcome if may_have_lapsed else None)
@@ -290,33 +321,46 @@
     async def _claim(self, job: TrackedJob) -> JobOutcome | None:
         """Claim a job's id. Return None once it is granted, or else the outcome of the job."""
         assert self._claims is not None
-        deadline = job.arrived_at + CLAIM_WAIT_S
-        held_by = "this entry"
-        while True:
-            if job.request.id not in self._unfinished_runs:
-                pause_count = self._pause_count
-                result = await self._claims.claim(job.request.id)
-                if self._check_pause() or pause_count != self._pause_count:
-                    # The claim may have lapsed during the pause, so the grant may be outdated.
-                    continue
-                if isinstance(result, Granted):
-                    return None
-                if isinstance(result, Withheld):
-                    held_by = ""
-                    refusal = _find_refusal(result, deadline)
-                    if refusal is not None:
-                        return refusal
-                else:
-                    held_by = result.owner
-            if clock.monotonic() > deadline or self._open.get(job.request.id) is not job:
-                log_event("job:not-claimed", job=job.request.id, held_by=held_by)
-                if not held_by:
-                    return JobRejected(cause=UNCONFIRMED_CAUSE, retry_after_s=UNCONFIRMED_RETRY_S)
-                return JobDropped(cause="its id is held by another entry")
-            await asyncio.sleep(CLAIM_RETRY_S)
-
-    def _drop(self, job_id: str, cause: str, *, actions: Iterable[Action] = ()) -> None:
-        """Stop a job and resolve it as dropped.
+        claims, request = self._claims, job.request
+        result = await self._claim_retries.repeat(
+            lambda: claims.claim(request.id, queue=request.queue.name),
+            pauses_s=itertools.repeat(CLAIM_RETRY_S),
+            deadline=job.arrived_at + CLAIM_WAIT_S,
+            is_blocked=lambda: request.id in self._unfinished_runs,
+            is_wanted=lambda: self._open.get(request.id) is job,
+        )
+        match result:
+            case Granted():
+                return None
+            case Cancelled():
+                return self._refuse_cancelled(request)
+            case Withheld(until=until) if until is None or until > job.arrived_at + CLAIM_WAIT_S:
+                return _refuse_withheld(result)
+        held_by = "" if isinstance(result, Withheld) else result.owner
+        log_event("job:not-claimed", job=request.id, held_by=held_by)
+        if not held_by:
+            return JobRejected(cause=UNCONFIRMED_CAUSE, retry_after_s=UNCONFIRMED_RETRY_S)
+        return JobDropped(cause="its id is held by another entry")
+
+    def _is_cancelled(self, request: JobRequest) -> bool:
+        assert self._claims is not None
+        return self._claims.is_cancelled(request.id, queue=request.queue.name)
+
+    def _refuse_cancelled(self, request: JobRequest) -> JobCancelled:
+        """Count and log a submission that arrives after its job was cancelled."""
+        self._metrics.count("jobs.already-cancelled")
+        log_event("job:already-cancelled", job=request.id, queue=request.queue.name)
+        return JobCancelled()
+
+    def _drop(
+        self,
+        job_id: str,
+        cause: str,
+        *,
+        actions: Iterable[Action] = (),
+        outcome: JobOutcome | None = None,
+    ) -> None:
+        """Stop a job and resolve it as dropped, or with another outcome.
 
         ``actions`` are those that the scheduler returned if it has ended the job already.
         """
@@ -338,7 +382,7 @@
             stops=len(stops),
         )
         self._metrics.count(f"jobs.dropped.{cause.replace(' ', '-')}")
-        job.resolve(JobDropped(cause=cause))
+        job.resolve(outcome or JobDropped(cause=cause))
         if job.is_submitted:
             self._unfinished_runs.begin(job_id, stops, now=clock.monotonic())
         # Freed capacity is used at the agent's next report.
@@ -480,12 +524,10 @@
         self._claims.release(job_id)
 
 
-def _find_refusal(withheld: Withheld, deadline: float) -> JobRejected | None:
-    """Return the refusal of a job if its id can't be granted before the deadline of its claim."""
+def _refuse_withheld(withheld: Withheld) -> JobRejected:
+    """Return the refusal of a job whose id can't be granted before the deadline of its claim."""
     if withheld.until is None:
         return JobRejected(cause=ISOLATED_CAUSE, retry_after_s=ISOLATED_RETRY_S)
-    if withheld.until <= deadline:
-        return None
     retry_after_s = withheld.until - clock.monotonic()
     return JobRejected(cause=UNCONFIRMED_CAUSE, retry_after_s=retry_after_s)
 
--- a/dalemast/fleet/entry/peers.py
+++ b/dalemast/fleet/entry/peers.py
@@ -408,6 +408,7 @@
             agents=self._routes.known_agents if self._partitions.knows_all_agents else (),
         )
         link.send(hello)
+        self._claims.announce_cancelled(session)
         self._send_declarations(session)
         return session
 
--- a/dalemast/fleet/entry/process.py
+++ b/dalemast/fleet/entry/process.py
@@ -20,11 +20,12 @@
     Scheduler,
     SchedulerLimits,
 )
-from dalemast.core.workloads import JobRequest, QueueTable
+from dalemast.core.workloads import JobRequest, Queue, QueueTable
 from dalemast.fleet.address_book import AddressBook
 from dalemast.fleet.backends import load_backend
 from dalemast.fleet.base import (
     BaseIngress,
+    CancelOutcome,
     Configuration,
     JobOutcome,
     JobRejected,
@@ -32,6 +33,7 @@
 )
 from dalemast.fleet.crashes import make_presumed_crashed
 from dalemast.fleet.entry.agents import AgentLinks
+from dalemast.fleet.entry.cancellations import Cancellations
 from dalemast.fleet.entry.configuration import ConfigurationInForce
 from dalemast.fleet.entry.demand import DemandExchange
 from dalemast.fleet.entry.job_tracker import JobTracker
@@ -123,6 +125,12 @@
             metrics=self._metrics,
         )
         self._tracker.set_claims(self._peers.claims)
+        self._cancellations = Cancellations(
+            claims=self._peers.claims,
+            is_open=self._tracker.is_open,
+            check_pause=self._check_pause,
+            metrics=self._metrics,
+        )
         self._agents.set_routes(self._peers.routes)
         self._evacuations.on_change(self._apply_evacuations)
         self._evacuations.on_change(self._agents.send_evacuations)
@@ -157,6 +165,12 @@
             return JobRejected(cause="draining", retry_after_s=DRAINING_RETRY_S)
         return await self._tracker.run(request)
 
+    async def cancel(self, *, queue: Queue, job_id: str, timeout_s: float) -> CancelOutcome:
+        """Cancel a job of a queue, whichever entry has it."""
+        return await self._cancellations.cancel(
+            queue=queue.name, job_id=job_id, timeout_s=timeout_s
+        )
+
     def handle_disconnect(self, job_id: str) -> None:
         """Cancel a job whose caller has disconnected."""
         self._tracker.leave(job_id)
@@ -236,6 +250,7 @@
             "evacuated": sorted(self._evacuations.data_centres),
             "open_jobs": len(self._tracker),
             "claims": len(self._peers.claims),
+            "cancelled_ids": self._peers.claims.cancelled_count,
             "peers": self._peers.peers,
             "partition": self._peers.partitions.get_state(),
             "demand": self._demand.get_state(),
@@ -286,6 +301,7 @@
     def _recover_from_pause(self) -> None:
         """Drop the started jobs, whose runs may have been stopped during the pause."""
         self._peers.note_process_pause()
+        self._cancellations.note_process_pause()
         self._tracker.abandon_started(clock.monotonic())
 
     @property
--- a/dalemast/fleet/frames.py
+++ b/dalemast/fleet/frames.py
@@ -401,10 +401,17 @@
 
 
 class Claim(Message, frozen=True, tag="?"):
-    """Requests the claim on a job's id; the response repeats ``number``."""
+    """Requests the claim on a job's id; the response repeats ``number``.
+
+    ``queue`` names the job's queue. A positive ``cancelled_for_s`` cancels the job instead: the
+    receiver keeps its id as cancelled for this time in seconds, and grants the claim if no other
+    entry holds the id for a job of this queue. Number 0 announces a claim or a cancelled id.
+    """
 
     number: int
     job: str
+    queue: str = ""
+    cancelled_for_s: float = 0.0
 
 
 class ClaimResponse(Message, frozen=True, tag="!"):
@@ -413,6 +420,7 @@
     If the claim is not granted, ``holder`` is the entry that holds it and ``lapses_in_s`` the time
     until it expires, negative if unknown. ``home`` is the name of the id's home if that is neither
     the sender nor the receiver: the sender can reach it, and does not know all claims on the id.
+    ``is_cancelled`` tells that the claim is not granted since the job was cancelled.
     """
 
     number: int
@@ -420,6 +428,7 @@
     holder: str = ""
     lapses_in_s: float = -1.0
     home: str = ""
+    is_cancelled: bool = False
 
 
 class Release(Message, frozen=True, tag="r"):
@@ -429,9 +438,14 @@
 
 
 class Yield(Message, frozen=True, tag="y"):
-    """Asks the holder of a claim to stop the job and release its id to another entry."""
+    """Asks the holder of a claim to stop the job and release its id.
+
+    Its caller has submitted it to another entry, or cancelled it if ``cancelled_queue`` names its
+    queue. A job of another queue is then kept.
+    """
 
     job: str
+    cancelled_queue: str = ""
 
 
 class ReachableEntriesRequest(Message, frozen=True, tag="n"):
--- a/dalemast/platform/ingress.py
+++ b/dalemast/platform/ingress.py
@@ -11,6 +11,7 @@
 
 from dalemast.core.exceptions import DalemastError
 from dalemast.core.workloads import (
+    CancelNotConfirmed,
     JobGivenUp,
     JobNotSupported,
     JobNotTaken,
@@ -20,7 +21,17 @@
     Resources,
     StepRequest,
 )
-from dalemast.fleet.base import BaseIngress, JobDone, JobDropped, JobOutcome, JobRejected, Jobs
+from dalemast.fleet.base import (
+    BaseIngress,
+    CancelUnconfirmed,
+    JobCancelled,
+    JobDone,
+    JobDropped,
+    JobOutcome,
+    JobRejected,
+    Jobs,
+    JobUnknown,
+)
 from dalemast.http.callers import CallerServer
 from dalemast.http.server import BACKLOG, bind_address, skip_access_log
 from dalemast.observability import log_event
@@ -94,10 +105,24 @@
         else:
             self._send(410, JobStateBody(state="unknown"))
 
-    def delete(self) -> None:
-        """Respond that the job is unknown: jobs are not kept, so there is none to cancel."""
-        self._find_queue()
-        self._send(410, JobStateBody(state="unknown"))
+    async def delete(self) -> None:
+        """Cancel a job, or respond that there is no such job."""
+        queue = self._find_queue()
+        job_id = self.request.path[len(queue.prefix) :]
+        if not _JOB_ID.match(job_id):
+            self._send(410, JobStateBody(state="unknown"))
+            return
+        outcome = await self._jobs.cancel(
+            queue=queue, job_id=job_id, timeout_s=self._get_timeout_s()
+        )
+        match outcome:
+            case JobCancelled():
+                self._send(200, JobStateBody(state="cancelled"))
+            case JobUnknown():
+                self._send(410, JobStateBody(state="unknown"))
+            case CancelUnconfirmed():
+                message = f"not confirmed: {outcome.cause}"
+                self._reject(CancelNotConfirmed(message, retry_after_s=outcome.retry_after_s))
 
     def on_connection_close(self) -> None:
         """Cancel a job whose caller has closed the connection."""
@@ -154,6 +179,8 @@
             case JobRejected():
                 message = f"not run: {outcome.cause}"
                 self._reject(JobNotTaken(message, retry_after_s=outcome.retry_after_s))
+            case JobCancelled():
+                self._send(200, JobStateBody(state="cancelled"))
             case JobDropped():
                 # Not a rejection with status 503, since part of the job may have run.
                 self._reject(JobGivenUp(f"given up: {outcome.cause}"))
--- a/tests/core/ownership/test_claims.py
+++ b/tests/core/ownership/test_claims.py
@@ -81,3 +81,30 @@
         home = choose_home(job_id, entries)
         for other in entries - {home}:
             self.assertEqual(home, choose_home(job_id, entries - {other}))
+
+
+class QueueTests(testtools.TestCase):
+    """A request to cancel concerns the claims on an id for jobs of one queue."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.claims = Claims(lapse_s=LAPSE_S)
+        self.claims.claim("a", "o1", now=0.0, queue="q1")
+
+    def find(self, queue: str) -> Held | None:
+        return self.claims.find_other("a", "o2", now=0.0, queue=queue)
+
+    def test_a_claim_for_another_queue_is_left_out(self) -> None:
+        held = Held(owner="o1", free_at=None)
+        self.assertEqual([held, held, None], [self.find(queue) for queue in ("", "q1", "q2")])
+
+    def test_a_claim_whose_queue_is_unknown_is_not_left_out(self) -> None:
+        self.claims.record_reported("a", "o3")
+        self.assertEqual(Held(owner="o3", free_at=None), self.find("q2"))
+
+    def test_the_queue_of_a_claim_becomes_known_and_stays_so(self) -> None:
+        """Greetings announce ids alone; the claims that follow name their queues."""
+        for queue in ("", "q3", ""):
+            self.claims.record_reported("a", "o3", queue=queue)
+        self.assertIsNone(self.find("q2"))
+        self.assertEqual(Held(owner="o3", free_at=None), self.find("q3"))
--- a/tests/fleet/test_claims.py
+++ b/tests/fleet/test_claims.py
@@ -21,6 +21,7 @@
     choose_home,
 )
 from dalemast.fleet.base import Member
+from dalemast.fleet.entry.claim_retries import ClaimResult
 from dalemast.fleet.entry.claims import (
     STARTUP_GRACE_S,
     SUSPECT_S,
@@ -36,6 +37,7 @@
 from tests.base import AsyncTestCase
 
 LAPSE_S = FleetTimes().lost_run_s
+QUEUE = "draws"
 PARTITION_S = 6.0
 """Duration of a long partition between two entries."""
 START = 1000.0
@@ -48,7 +50,10 @@
     def __init__(self) -> None:
         self.claimed: set[str] = set()
         self.claiming: set[str] = set()
+        self.queues: dict[str, str] = {}
+        """The queues of open jobs by id."""
         self.yielded: list[str] = []
+        self.cancelled: list[str] = []
 
     def get_claimed_ids(self) -> list[str]:
         return sorted(self.claimed)
@@ -62,6 +67,22 @@
     def yield_job(self, job_id: str) -> None:
         self.yielded.append(job_id)
 
+    def get_queue(self, job_id: str) -> str:
+        return self.queues.get(job_id, "")
+
+    def cancel_job(self, job_id: str, *, queue: str) -> bool:
+        is_open = self.get_queue(job_id) == queue
+        if is_open:
+            self.cancelled.append(job_id)
+            self.forget(job_id)
+        return is_open
+
+    def forget(self, job_id: str) -> None:
+        """Remove a job that has ended or is being stopped."""
+        self.claimed.discard(job_id)
+        self.claiming.discard(job_id)
+        self.queues.pop(job_id, None)
+
 
 class FakeLink:
     """One direction of a link, which delivers messages in order, delays them, or loses them."""
@@ -139,6 +160,11 @@
         here.announced_ids = tuple(self.jobs.get_claimed_ids())
         other.accepted[self.member.incarnation] = there
         other.handle_open_ids(there, here.announced_ids)
+        # In the same frame as the greeting, so that nothing is granted in between.
+        for request in self.claims._list_cancelled():
+            other._handle_message(there, request.make_message(0))
+        for request in other.claims._list_cancelled():
+            self._handle_message(here, request.make_message(0))
         other.claims.record_owner_back(self.member)
         return here
 
@@ -148,12 +174,12 @@
         self.claims.record_greeting(session)  # type: ignore[arg-type]
         self.claims.announce_all()
 
-    def lose_link(self, other: Entry) -> None:
-        """End the links with another entry, in both directions, without a goodbye."""
+    def lose_link(self, other: Entry, *, is_planned: bool = False) -> None:
+        """End the links with another entry, in both directions, with a goodbye if planned."""
         session = self.dialled.pop(other.name)
         session.link.is_lossy = True
         self.claims.cancel_pending(session)  # type: ignore[arg-type]
-        self.claims.suspect_home(other.member, is_planned=False)
+        self.claims.suspect_home(other.member, is_planned=is_planned)
         self.claims.announce_all()
         self.accepted.pop(other.member.incarnation).link.is_lossy = True
         self.claims.record_owner_lost(other.member)
@@ -162,18 +188,25 @@
         """Handle the ids that another entry announces in its greeting."""
         self.claims.handle_open_ids(session, job_ids)  # type: ignore[arg-type]
 
-    async def claim(self, job_id: str) -> Granted | Held:
+    async def claim(self, job_id: str, *, queue: str = QUEUE) -> ClaimResult:
         """Claim an id as the job tracker does."""
         self.jobs.claiming.add(job_id)
-        result = await self.claims.claim(job_id)
-        if isinstance(result, Granted):
+        self.jobs.queues[job_id] = queue
+        result = await self.claims.claim(job_id, queue=queue)
+        if job_id not in self.jobs.claiming:
+            # The job was cancelled in the meantime.
+            self.claims.release(job_id)
+        elif isinstance(result, Granted):
             self.jobs.claimed.add(job_id)
         return result
 
+    async def cancel(self, job_id: str, *, queue: str = QUEUE) -> ClaimResult:
+        """Cancel the job of an id once, as a caller's request does."""
+        return await self.claims.cancel(job_id, queue=queue)
+
     def release(self, job_id: str) -> None:
         """Release an id of a job that has ended."""
-        self.jobs.claimed.discard(job_id)
-        self.jobs.claiming.discard(job_id)
+        self.jobs.forget(job_id)
         self.claims.release(job_id)
 
     def _handle_message(self, session: FakeSession, message: Any) -> None:
@@ -247,7 +280,7 @@
         await asyncio.sleep(0)
 
 
-def is_granted(result: Granted | Held) -> bool:
+def is_granted(result: ClaimResult) -> bool:
     return isinstance(result, Granted)
 
 
@@ -512,8 +545,8 @@
 """A step, and whether all messages in flight arrive before the next one."""
 
 
-class AnyOrderTests(ClaimsTestCase):
-    """Two entries never own an id at once, whatever the order of claims, releases and failures.
+class AnyOrderTestCase(ClaimsTestCase):
+    """Plays drawn steps of four entries, and checks after each that no two own an id.
 
     One failure occurs at a time: a partition between two entries, or the restart of one.
     """
@@ -526,13 +559,9 @@
         self.now = START
         self.entries = [Entry(name) for name in NAMES]
         self.cut_pair: tuple[Entry, Entry] | None = None
-        self.claims: list[asyncio.Task[Granted | Held]] = []
+        self.claims: list[asyncio.Task[ClaimResult]] = []
 
-    @settings(max_examples=1000)
-    @given(st.lists(STEPS, min_size=3, max_size=20))
-    def test_two_entries_never_both_have_an_id(
-        self, steps: list[tuple[tuple[str, Any, Any], bool]]
-    ) -> None:
+    def play_steps(self, steps: list[tuple[tuple[str, Any, Any], bool]]) -> None:
         async def scenario() -> None:
             for (step, first, second), is_calm in steps:
                 getattr(self, f"do_{step}")(first, second)
@@ -556,9 +585,9 @@
         if not entry.jobs.has_open(job_id):
             self.claims.append(asyncio.ensure_future(self._claim(entry, job_id)))
 
-    async def _claim(self, entry: Entry, job_id: str) -> Granted | Held:
+    async def _claim(self, entry: Entry, job_id: str) -> ClaimResult:
         result = await entry.claim(job_id)
-        if isinstance(result, Held):
+        if not isinstance(result, Granted):
             entry.release(job_id)
         return result
 
@@ -592,3 +621,14 @@
 
     def do_wait(self, seconds: float, _: None) -> None:
         self.wait(seconds)
+
+
+class AnyOrderTests(AnyOrderTestCase):
+    """Two entries never own an id at once, whatever the order of claims, releases and failures."""
+
+    @settings(max_examples=1000)
+    @given(st.lists(STEPS, min_size=3, max_size=20))
+    def test_two_entries_never_both_have_an_id(
+        self, steps: list[tuple[tuple[str, Any, Any], bool]]
+    ) -> None:
+        self.play_steps(steps)
--- a/tests/fleet/test_job_tracker.py
+++ b/tests/fleet/test_job_tracker.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from dalemast import clock
-from dalemast.core.ownership import Granted, Held
+from dalemast.core.ownership import Cancelled, Granted, Held
 from dalemast.core.scheduling import (
     CapacityReport,
     EndReason,
@@ -20,7 +20,8 @@
     WorkerView,
 )
 from dalemast.core.workloads import Resources, TaskKey
-from dalemast.fleet.base import JobDropped, JobRejected
+from dalemast.fleet.base import JobCancelled, JobDropped, JobRejected
+from dalemast.fleet.entry.claim_retries import ClaimResult
 from dalemast.fleet.entry.job_tracker import JobTracker
 from dalemast.fleet.frames import RunEnded, RunRow
 from dalemast.fleet.timing import FleetTimes
@@ -40,25 +41,30 @@
 
     def __init__(self) -> None:
         self.is_delayed = False
-        self.result: Granted | Held = Granted()
-        self.pending: list[asyncio.Future[Granted | Held]] = []
+        self.result: ClaimResult = Granted()
+        self.pending: list[asyncio.Future[ClaimResult]] = []
+        self.cancelled: set[tuple[str, str]] = set()
+        """Cancelled ids, with the names of their queues."""
         self.log: list[str] = []
 
-    async def claim(self, job_id: str) -> Granted | Held:
+    async def claim(self, job_id: str, *, queue: str) -> ClaimResult:
         if self.is_delayed:
             self.pending.append(asyncio.get_running_loop().create_future())
             return await self.pending[-1]
         self._record(self.result)
         return self.result
 
+    def is_cancelled(self, job_id: str, *, queue: str) -> bool:
+        return (queue, job_id) in self.cancelled
+
     def release(self, job_id: str) -> None:
         self.log.append("released")
 
-    def respond(self, number: int, result: Granted | Held) -> None:
+    def respond(self, number: int, result: ClaimResult) -> None:
         self._record(result)
         self.pending[number].set_result(result)
 
-    def _record(self, result: Granted | Held) -> None:
+    def _record(self, result: ClaimResult) -> None:
         self.log.append("granted" if isinstance(result, Granted) else "held")
 
 
@@ -397,3 +403,84 @@
             await asyncio.wait_for(job, 1.0)
 
         self.run_async(scenario())
+
+
+class CancelledJobTests(JobTrackerTestCase):
+    """A cancelled job is stopped wherever it stands, and its submissions are answered as that.
+
+    Guards against a caller that resubmits a job which it has cancelled, as it was given up.
+    """
+
+    QUEUE = make_job(JOB).queue.name
+
+    def test_a_started_job_is_stopped_and_its_id_kept_until_its_runs_have_ended(self) -> None:
+        async def scenario() -> None:
+            tracker = self.make_tracker("w1")
+            job = await self.submit(tracker, count=2)
+            self.assertTrue(tracker.cancel_job(JOB, queue=self.QUEUE))
+            self.assertEqual(JobCancelled(), await job)
+            self.assertEqual(2, len(self.stops))
+            self.assertTrue(tracker.has_open(JOB))
+            self.assertEqual(["granted"], self.claims.log)
+
+        self.run_async(scenario())
+
+    def test_a_job_whose_id_is_being_claimed_never_starts(self) -> None:
+        async def scenario() -> None:
+            tracker = self.make_tracker("w1")
+            self.claims.is_delayed = True
+            job = asyncio.ensure_future(tracker.run(make_job(JOB)))
+            await wait_until(lambda: len(self.claims.pending) == 1, "the claim")
+            self.assertTrue(tracker.cancel_job(JOB, queue=self.QUEUE))
+            self.claims.respond(0, Granted())
+            self.assertEqual(JobCancelled(), await job)
+            self.assertEqual(([], ["granted", "released"]), (self.starts, self.claims.log))
+
+        self.run_async(scenario())
+
+    def test_a_job_that_waits_for_a_worker_never_starts(self) -> None:
+        async def scenario() -> None:
+            tracker = self.make_tracker()
+            job = asyncio.ensure_future(tracker.run(make_job(JOB)))
+            await wait_until(lambda: bool(self.scheduler.open_jobs), "the job to be queued")
+            self.assertTrue(tracker.cancel_job(JOB, queue=self.QUEUE))
+            tracker.apply(self.add_worker("w1"))
+            self.assertEqual((JobCancelled(), []), (await job, self.starts))
+
+        self.run_async(scenario())
+
+    def test_the_job_of_another_queue_goes_on(self) -> None:
+        async def scenario() -> None:
+            tracker = self.make_tracker("w1")
+            job = await self.submit(tracker)
+            self.assertFalse(tracker.cancel_job(JOB, queue="another"))
+            self.assertFalse(tracker.cancel_job(JOB, queue=""))
+            self.assertEqual([], self.stops)
+            tracker.leave(JOB)
+            await job
+
+        self.run_async(scenario())
+
+    def test_a_job_that_has_joined_its_earlier_submission_is_cancelled_with_it(self) -> None:
+        async def scenario() -> None:
+            tracker = self.make_tracker("w1")
+            first = await self.submit(tracker)
+            second = asyncio.ensure_future(tracker.run(make_job(JOB)))
+            self.assertIsInstance(await first, JobDropped)
+            tracker.cancel_job(JOB, queue=self.QUEUE)
+            self.assertEqual(JobCancelled(), await second)
+
+        self.run_async(scenario())
+
+    def test_a_later_submission_is_answered_at_once(self) -> None:
+        async def scenario() -> None:
+            tracker = self.make_tracker("w1")
+            self.claims.cancelled.add((self.QUEUE, JOB))
+            self.assertEqual(JobCancelled(), await tracker.run(make_job(JOB)))
+            self.claims.cancelled.clear()
+            self.claims.result = Cancelled()
+            self.assertEqual(JobCancelled(), await tracker.run(make_job(JOB)))
+            self.assertEqual([], self.starts)
+            self.assertFalse(tracker.has_open(JOB))
+
+        self.run_async(scenario())
--- a/tests/histories/__main__.py
+++ b/tests/histories/__main__.py
@@ -27,6 +27,7 @@
     play,
     shrink,
 )
+from tests.histories.draw_cancellations import draw_cancel_history
 
 Draw = Callable[[int], History]
 """A function that returns the history of a seed."""
@@ -81,6 +82,7 @@
     parser.add_argument("--departures", action="store_true", help="workers that leave with notice")
     parser.add_argument("--load", action="store_true", help="all decisions under load together")
     parser.add_argument("--crashes", action="store_true", help="tasks that crash workers unnoticed")
+    parser.add_argument("--cancels", action="store_true", help="callers that cancel their jobs")
     parser.add_argument("--as-drawn", action="store_true", help="do not shrink failing histories")
     parser.add_argument("--most", type=int, default=20, help="number of histories shown in full")
     arguments = parser.parse_args()
@@ -99,6 +101,8 @@
         draw = draw_load_history
     if arguments.crashes:
         draw = draw_crash_history
+    if arguments.cancels:
+        draw = draw_cancel_history
     began = time.perf_counter()
     seeds = range(arguments.first, arguments.first + arguments.seeds)
     with multiprocessing.Pool(arguments.processes) as pool:
@@ -119,6 +123,8 @@
     preempted = sum(outcome.preemptions for _, outcome in played)
     moved = sum(outcome.moves for _, outcome in played)
     print(f"{preempted} runs were preempted, {moved} were moved")
+    unacknowledged = sum(outcome.unacknowledged for _, outcome in played)
+    print(f"{unacknowledged} cancellations were not acknowledged")
     print(f"{len(broken)} violated a guarantee: seeds {broken[:200]}")
     return 1 if broken else 0
 
--- a/tests/histories/base.py
+++ b/tests/histories/base.py
@@ -12,6 +12,7 @@
     "MAX_HIDDEN_S",
     "CallEffect",
     "CallFault",
+    "Cancel",
     "Cut",
     "Drop",
     "Fault",
@@ -155,7 +156,24 @@
     is_noticed: bool = True
 
 
-Fault = Freeze | Suspend | Kill | Cut | Silence | Drop | CallFault | Resize | Leave | HangUp
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cancel:
+    """A caller cancels its job at an entry, and repeats that at any entry until it is acknowledged.
+
+    With ``is_other_queue`` it names another queue than the job's, so that nothing is cancelled.
+    With ``resubmits`` it goes on to resubmit the job afterwards, as if it had not cancelled it.
+    """
+
+    job: int
+    at_s: float
+    entry: int = 0
+    is_other_queue: bool = False
+    resubmits: bool = False
+
+
+Fault = (
+    Freeze | Suspend | Kill | Cut | Silence | Drop | CallFault | Resize | Leave | HangUp | Cancel
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -216,7 +234,9 @@
     answers: list[str] = field(default_factory=list)
     """Class names of the answers to callers in order, then "none" for each unanswered job."""
     states: dict[int, str] = field(default_factory=dict)
-    """Final states of the answered jobs by index: succeeded, failed or refused."""
+    """Final states of the answered jobs by index: succeeded, failed, cancelled or refused."""
+    unacknowledged: int = 0
+    """Number of jobs whose cancellation was not acknowledged."""
     crashes: int = 0
     """Number of workers that were crashed by a task."""
     late_starts: int = 0
--- a/tests/histories/draw.py
+++ b/tests/histories/draw.py
@@ -9,6 +9,7 @@
 from tests.histories.base import (
     CallEffect,
     CallFault,
+    Cancel,
     Cut,
     Drop,
     Fault,
@@ -562,10 +563,10 @@
 
 
 def _drop_job(history: History, dropped: int) -> History:
-    """Remove a job and the hang-ups of its caller."""
-    faults = []
+    """Remove a job, and the hang-ups and cancellations of its caller."""
+    faults: list[Fault] = []
     for fault in history.faults:
-        if isinstance(fault, HangUp):
+        if isinstance(fault, (HangUp, Cancel)):
             if fault.job == dropped:
                 continue
             fault = replace(fault, job=fault.job - (fault.job > dropped))
--- a/tests/histories/fleet.py
+++ b/tests/histories/fleet.py
@@ -25,8 +25,10 @@
 )
 from dalemast.fleet.agent import FleetAgentProcess
 from dalemast.fleet.base import (
+    JobCancelled,
     JobDone,
     JobDropped,
+    JobOutcome,
     JobRejected,
 )
 from dalemast.fleet.entry import FleetEntryProcess
@@ -41,6 +43,7 @@
 from tests.histories.base import (
     MAX_HIDDEN_S,
     CallFault,
+    Cancel,
     Cut,
     Drop,
     Fault,
@@ -55,6 +58,7 @@
     Silence,
     Suspend,
 )
+from tests.histories.cancellations import Cancellations
 from tests.histories.clock import (
     ModelHost,
     ModelLoop,
@@ -111,6 +115,8 @@
         self.submission = 0
         self.entry = ""
         self.is_over = False
+        self.resubmits = True
+        """Whether it resubmits the job after a lost connection or a 502."""
         self.refused: set[int] = set()
         """The submissions that were answered as refused."""
 
@@ -168,6 +174,14 @@
             ModelCaller(number=number, plan=plan)
             for number, plan in enumerate(history.jobs, start=1)
         ]
+        self._cancellations = Cancellations(
+            timeline=self._timeline,
+            hosts=self._hosts,
+            workers=self._workers,
+            draw_entry=self._draw_entry,
+            add_violation=self._add_violation,
+            note=self._note,
+        )
         self._crashing = {
             f"{caller.job_id}.0.0.{position}"
             for caller in self._callers
@@ -364,6 +378,8 @@
                 self._leave(fault)
             case HangUp():
                 self._hang_up(fault)
+            case Cancel():
+                self._cancel(fault)
 
     def _kill(self, fault: Kill) -> None:
         host = self._get_host(fault.process)
@@ -374,6 +390,7 @@
             self._end_worker(worker, for_s=fault.for_s)
             return
         host.end()
+        self._cancellations.record_kill(fault.process)
         self._network.end_host(host)
         self._timeline.call_later(fault.for_s, lambda: self._start_process(fault.process))
         for caller in self._callers:
@@ -472,13 +489,13 @@
         caller.is_over = True
         self._outcome.answers.append(type(outcome).__name__)
         number = self._callers.index(caller)
-        self._outcome.states[number] = (
-            outcome.state.value if isinstance(outcome, JobDone) else "refused"
-        )
+        self._outcome.states[number] = _name_state(outcome)
         if isinstance(outcome, JobDone) and outcome.state.value == "succeeded":
             self._check_done(caller)
         elif isinstance(outcome, JobDone):
             self._check_given_up(caller)
+        elif isinstance(outcome, JobCancelled):
+            self._check_cancelled(caller)
 
     def _hang_up(self, fault: HangUp) -> None:
         caller = self._callers[fault.job]
@@ -490,13 +507,24 @@
             host.deliver(lambda: host.loop.call_soon(host.process.handle_disconnect, caller.job_id))
         self._submit_later(caller)
 
+    def _cancel(self, fault: Cancel) -> None:
+        caller = self._callers[fault.job]
+        if not fault.is_other_queue:
+            caller.resubmits = fault.resubmits
+        self._cancellations.begin(
+            fault,
+            job_id=caller.job_id,
+            priority=caller.plan.priority,
+            entry=f"entry-{fault.entry % self._history.entries}",
+        )
+
     def _submit_later(self, caller: ModelCaller) -> None:
         """Abandon the current submission and resubmit to any entry."""
         caller.submission += 1
         mark = caller.submission
 
         def submit() -> None:
-            if caller.submission == mark and not caller.is_over:
+            if caller.submission == mark and not caller.is_over and caller.resubmits:
                 self._submit(caller, self._draw_entry())
 
         self._timeline.call_later(RESUBMIT_DELAY_S, submit)
@@ -518,6 +546,7 @@
                     f"{run} goes on on {worker.name}"
                 )
         self._check_crashes(started.task)
+        self._cancellations.record_start(started)
         caller = next(c for c in self._callers if started.task.startswith(c.job_id))
         if started.submission in caller.refused:
             self._add_violation(
@@ -553,7 +582,13 @@
                 f"{caller.job_id} failed after only {ends} workers ended under its tasks"
             )
 
+    def _check_cancelled(self, caller: ModelCaller) -> None:
+        """Check that the caller of a cancelled job has requested that."""
+        if not self._cancellations.is_cancelled(caller.job_id):
+            self._add_violation(f"{caller.job_id} is answered as cancelled without a request")
+
     def _check_answers(self) -> None:
+        self._outcome.unacknowledged = self._cancellations.count_unacknowledged()
         for caller in self._callers:
             if not caller.is_over:
                 self._outcome.answers.append("none")
@@ -658,6 +693,17 @@
             loop.close()
 
 
+def _name_state(outcome: JobOutcome) -> str:
+    """Return the final state of a job for :attr:`Outcome.states`."""
+    match outcome:
+        case JobDone():
+            return outcome.state.value
+        case JobCancelled():
+            return "cancelled"
+        case _:
+            return "refused"
+
+
 def _shift(fault: CallFault, zero: float) -> CallFault:
     """Return a copy of a fault with its time on the monotonic clock."""
     return CallFault(
--- a/tests/histories/worker.py
+++ b/tests/histories/worker.py
@@ -71,6 +71,8 @@
     submission: int
     earlier_run: int | None = None
     """The run of the same task that was active on the same worker."""
+    is_late: bool = False
+    """Whether the worker executed the order later than it received it."""
 
 
 class ModelWorker:
@@ -234,7 +236,7 @@
         def carry_out() -> None:
             if self._incarnation_number == incarnation:
                 self._note(self.name, f"executes a late {kind}")
-                self._carry_out(kind, call)
+                self._carry_out(kind, call, is_late=True)
 
         self._timeline.call_later(delay_s, carry_out)
 
@@ -258,10 +260,12 @@
             delay_s = self._rng.uniform(*RESPONSE_S)
         self._timeline.call_later(delay_s, lambda: _answer(end, status, answer))
 
-    def _carry_out(self, kind: str, call: dict[str, Any]) -> tuple[int, Any]:
+    def _carry_out(
+        self, kind: str, call: dict[str, Any], *, is_late: bool = False
+    ) -> tuple[int, Any]:
         self._advance()
         if kind == "start":
-            reason = self._start(call)
+            reason = self._start(call, is_late=is_late)
         elif kind == "stop":
             reason = self._stop(call)
         else:
@@ -273,7 +277,7 @@
         active = self._runs.active.get(call["task"])
         return active is not None and active.order.run == call["run"]
 
-    def _start(self, call: dict[str, Any]) -> str:
+    def _start(self, call: dict[str, Any], *, is_late: bool) -> str:
         text = msgspec.json.decode(call["spec"], type=TaskSpec)
         task, run, now = call["task"], call["run"], self._now()
         is_active = self._is_active(call)
@@ -306,6 +310,7 @@
                     run=run,
                     submission=text.submission,
                     earlier_run=earlier_run,
+                    is_late=is_late,
                 )
             )
             if text.crash_s and text.crash_s[position] is not None:
