Let callers of the soak cancel their jobs

Half of them submit the job again afterwards if they get no answer. From what the workers saw, nothing of it may start 3 s after the acknowledgement, or run 0.05 s longer, as long as one entry has lived since. An answer `cancelled` that nobody asked for breaks the run, too. Runs without the option draw as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,6 +25,7 @@
     )
     parser.add_argument("--preempts", action="store_true", help="urgent jobs preempt others")
     parser.add_argument("--load", action="store_true", help="all decisions under load")
+    parser.add_argument("--cancels", action="store_true", help="some callers cancel their jobs")
     parser.add_argument("--logs", default="build/soak", help="folder for logs")
     options = parser.parse_args()
     seeds = [options.seed] if options.seed is not None else []
@@ -41,6 +42,7 @@
             crashes=options.crashes,
             preempts=options.preempts,
             load=options.load,
+            cancels=options.cancels,
         )
         report = asyncio.run(soak.play(seconds=options.seconds))
         print(report, flush=True)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -89,6 +89,9 @@
     jobs of a seed. With ``keeps_entry`` it uses the same entry until that does not answer.
     """
 
+    _cancels = False
+    """Whether the caller cancels its jobs."""
+
     def __init__(
         self,
         *,
@@ -139,8 +142,14 @@
             if status not in (None, 502, 504):
                 break
             await asyncio.sleep(RESUBMIT_DELAY_S)
+            if not self._should_resubmit():
+                break
         self._check_result(job_id, tasks, statuses, state)
 
+    def _should_resubmit(self) -> bool:
+        """Return whether a job without a final answer is submitted again."""
+        return True
+
     def _draw_timeout_s(self, run_s: float) -> float:
         if self._hang_up_rng.random() >= HANG_UP_SHARE:
             return self._kind.timeout_s
@@ -160,6 +169,8 @@
     ) -> None:
         workers = self._cluster.workers
         names = [f"{job_id}.0.0.{position}" for position in range(tasks)]
+        if state == "cancelled" and not self._cancels:
+            self._report.broken.append(f"{job_id} was answered as cancelled without a request")
         if state == "succeeded" and self._kind.crash_s is not None:
             self._report.broken.append(f"{job_id} succeeded though its tasks crash their workers")
         if state == "succeeded":
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -51,6 +51,13 @@
             stderr=self._log,
         )
 
+    @property
+    def pid(self) -> int | None:
+        """The id of the running process, or None if there is none."""
+        if self._process is None or self._process.poll() is not None:
+            return None
+        return self._process.pid
+
     def describe(self) -> str:
         """Return the state of the process according to the operating system, or its exit code."""
         if self._process is None:
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -14,6 +14,8 @@
     succeeded: int = 0
     refused: int = 0
     hung_up: int = 0
+    cancelled: int = 0
+    """Number of jobs whose cancellation was acknowledged."""
     crashes: int = 0
     """Number of workers that were crashed by a task."""
     preempted: int = 0
@@ -26,6 +28,7 @@
     def __str__(self) -> str:
         head = f"seed {self.seed}: {self.jobs} jobs, {self.succeeded} succeeded, "
         head += f"{self.refused} refused, {self.hung_up} left, {len(self.faults)} faults"
+        head += f", {self.cancelled} cancelled" if self.cancelled else ""
         head += f", {self.crashes} crashes" if self.crashes else ""
         head += f", {self.preempted} preempted" if self.preempted else ""
         return "\n".join([head, *(f"  BROKEN {line}" for line in self.broken)])
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,6 +21,11 @@
     make_prefix,
     submit,
 )
+from tests.soak.cancellations import (
+    CANCELLED_KINDS,
+    Cancellations,
+    CancellingCaller,
+)
 from tests.soak.cluster import EVACUATED, Cluster, Program
 from tests.soak.crashes import CrashCount
 from tests.soak.departures import Departures
@@ -42,6 +47,8 @@
 PROBE = "f" * 12 + "{:04x}"
 """Format of the ids of jobs that probe idle entries; callers use other ids."""
 PROBE_TIMEOUT_S = 8.0
+CANCELLED_CHECK_S = 3.5
+"""How long the runs of the last cancelled jobs are observed, longer than they may go on."""
 EVACUATION_CHECK_S = 1.0
 """How long workers of an evacuated data centre are observed once all processes know of it."""
 
@@ -52,7 +59,7 @@
     With ``crashes``, some tasks crash their workers, which keep their ids and are resized. With
     ``preempts``, less urgent jobs fill the workers and other jobs preempt them. ``load`` includes
     ``preempts``, enables all decisions under load, and has workers of unequal speeds, some of which
-    leave with notice.
+    leave with notice. With ``cancels``, further callers cancel their jobs.
     """
 
     def __init__(
@@ -65,6 +72,7 @@
         crashes: bool = False,
         preempts: bool = False,
         load: bool = False,
+        cancels: bool = False,
     ) -> None:
         self._rng = random.Random(seed)
         self._operator_rng = random.Random(f"evacuations of {seed}")
@@ -93,6 +101,8 @@
         self._versions: dict[str, tuple[str, int]] = {}
         self._crashed: set[EmulatedWorker] = set()
         """Workers that are down; an overlapping fault must not start them twice on one port."""
+        self._cancels = cancels
+        self._cancellations = Cancellations(cluster=self._cluster, report=self._report)
         self._departures = Departures(
             cluster=self._cluster, report=self._report, down=self._crashed
         )
@@ -110,6 +120,7 @@
             callers = self._make_callers()
             calling = [asyncio.create_task(caller.run()) for caller in callers]
             watch = asyncio.create_task(self._watch_versions())
+            watch_cancelled = asyncio.create_task(self._cancellations.watch())
             evacuations = asyncio.create_task(self._evacuate_now_and_then())
             resizes = asyncio.create_task(self._resize_now_and_then())
             if not self._crashing_kinds:
@@ -131,7 +142,10 @@
             await asyncio.gather(*calling)
             if self._load:
                 await self._check_served()
+            if self._cancels:
+                await asyncio.sleep(CANCELLED_CHECK_S)
             watch.cancel()
+            watch_cancelled.cancel()
         finally:
             await cluster.close()
             self._trace.close()
@@ -159,6 +173,19 @@
                 keeps_entry=self._load and number % 2 == 0,
             )
             for number, (kind, rng) in enumerate(zip(kinds, rngs, strict=True))
+        ] + self._make_cancelling_callers(first=len(kinds))
+
+    def _make_cancelling_callers(self, *, first: int) -> list[Caller]:
+        return [
+            CancellingCaller(
+                number=number,
+                kind=kind,
+                cluster=self._cluster,
+                report=self._report,
+                rng=random.Random(f"cancelled jobs {number} of {self._report.seed}"),
+                cancellations=self._cancellations,
+            )
+            for number, kind in enumerate(CANCELLED_KINDS if self._cancels else (), start=first)
         ]
 
     def _handle_call(self, number: int, record: CallRecord) -> None:
@@ -168,6 +195,7 @@
     def _check_start(self, started_on: EmulatedWorker, task: str) -> None:
         self._check_alone(task)
         self._departures.check_start(started_on, task)
+        self._cancellations.check_start(started_on, task)
         if task.partition(".")[0] in self._report.refused_jobs:
             self._report.broken.append(f"{task} started after its job was refused as not run")
         for worker in self._cluster.workers:
